--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -4,7 +4,7 @@
 #include <bit>
 #include <limits>
 
-namespace nickelwall::wire {
+namespace tulipyoke::wire {
 namespace {
 
 enum EventCode : std::uint16_t {
@@ -347,4 +347,4 @@
   return out + writer.records_ + writer.tail_;
 }
 
-}  // namespace nickelwall::wire
+}  // namespace tulipyoke::wire
--- a/adapter/codec.hpp
+++ b/adapter/codec.hpp
@@ -1,6 +1,6 @@
 // The simulator's wire: bytes to events and actions to bytes, one to one.
-#ifndef NICKELWALL_ADAPTER_CODEC_HPP_
-#define NICKELWALL_ADAPTER_CODEC_HPP_
+#ifndef TULIPYOKE_ADAPTER_CODEC_HPP_
+#define TULIPYOKE_ADAPTER_CODEC_HPP_
 
 #include <cstddef>
 #include <cstdint>
@@ -11,9 +11,9 @@
 #include <variant>
 #include <vector>
 
-#include "nickelwall/router.hpp"
+#include "tulipyoke/router.hpp"
 
-namespace nickelwall::wire {
+namespace tulipyoke::wire {
 
 // What is wrong with the bytes that came in, in plain words.
 class FormatError : public std::runtime_error {
@@ -71,6 +71,6 @@
 };
 std::string EncodeReply(std::uint32_t number, const std::vector<Reply>& replies);
 
-}  // namespace nickelwall::wire
+}  // namespace tulipyoke::wire
 
-#endif  // NICKELWALL_ADAPTER_CODEC_HPP_
+#endif  // TULIPYOKE_ADAPTER_CODEC_HPP_
--- a/adapter/instances.cpp
+++ b/adapter/instances.cpp
@@ -5,7 +5,7 @@
 
 #include "adapter/settings_parser.hpp"
 
-namespace nickelwall::wire {
+namespace tulipyoke::wire {
 
 void Instances::Pass(Micros now, std::uint16_t instance, const Event& event, std::vector<Reply>& replies) {
   const auto it = routers_.find(instance);
@@ -48,4 +48,4 @@
   return EncodeReply(header.number, replies);
 }
 
-}  // namespace nickelwall::wire
+}  // namespace tulipyoke::wire
--- a/adapter/instances.hpp
+++ b/adapter/instances.hpp
@@ -1,6 +1,6 @@
 // The Routers of one process, by instance number.
-#ifndef NICKELWALL_ADAPTER_INSTANCES_HPP_
-#define NICKELWALL_ADAPTER_INSTANCES_HPP_
+#ifndef TULIPYOKE_ADAPTER_INSTANCES_HPP_
+#define TULIPYOKE_ADAPTER_INSTANCES_HPP_
 
 #include <array>
 #include <map>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "adapter/codec.hpp"
-#include "nickelwall/router.hpp"
+#include "tulipyoke/router.hpp"
 
-namespace nickelwall::wire {
+namespace tulipyoke::wire {
 
 class Instances {
  public:
@@ -25,6 +25,6 @@
   std::array<std::vector<ListEntry>, kListBanks> banks_;
 };
 
-}  // namespace nickelwall::wire
+}  // namespace tulipyoke::wire
 
-#endif  // NICKELWALL_ADAPTER_INSTANCES_HPP_
+#endif  // TULIPYOKE_ADAPTER_INSTANCES_HPP_
--- a/adapter/settings_parser.cpp
+++ b/adapter/settings_parser.cpp
@@ -8,7 +8,7 @@
 
 #include "adapter/codec.hpp"
 
-namespace nickelwall::wire {
+namespace tulipyoke::wire {
 namespace {
 
 constexpr std::int64_t kMostListItems = 4096;
@@ -169,4 +169,4 @@
   return s;
 }
 
-}  // namespace nickelwall::wire
+}  // namespace tulipyoke::wire
--- a/adapter/settings_parser.hpp
+++ b/adapter/settings_parser.hpp
@@ -1,16 +1,16 @@
 // The path=value lines of the wire's Init to Settings.
-#ifndef NICKELWALL_ADAPTER_SETTINGS_PARSER_HPP_
-#define NICKELWALL_ADAPTER_SETTINGS_PARSER_HPP_
+#ifndef TULIPYOKE_ADAPTER_SETTINGS_PARSER_HPP_
+#define TULIPYOKE_ADAPTER_SETTINGS_PARSER_HPP_
 
 #include <string_view>
 
-#include "nickelwall/router.hpp"
+#include "tulipyoke/router.hpp"
 
-namespace nickelwall::wire {
+namespace tulipyoke::wire {
 
 // Unknown paths are skipped; a value that its path cannot have throws FormatError.
 Settings ParseSettings(std::string_view text);
 
-}  // namespace nickelwall::wire
+}  // namespace tulipyoke::wire
 
-#endif  // NICKELWALL_ADAPTER_SETTINGS_PARSER_HPP_
+#endif  // TULIPYOKE_ADAPTER_SETTINGS_PARSER_HPP_
--- a/include/nickelwall/router.hpp
+++ b/include/tulipyoke/router.hpp
@@ -1,7 +1,7 @@
-// The interface of nickelwall: what a gateway tells a Router and what the Router asks it to do.
+// The interface of tulipyoke: what a gateway tells a Router and what the Router asks it to do.
 // Plain data only. Every decision is in src/rules.cpp. All times are microseconds.
-#ifndef NICKELWALL_ROUTER_HPP_
-#define NICKELWALL_ROUTER_HPP_
+#ifndef TULIPYOKE_ROUTER_HPP_
+#define TULIPYOKE_ROUTER_HPP_
 
 #include <cstdint>
 #include <memory>
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace nickelwall {
+namespace tulipyoke {
 
 using Micros = std::int64_t;
 using RequestId = std::uint64_t;
@@ -207,6 +207,6 @@
   std::unique_ptr<State> state_;
 };
 
-}  // namespace nickelwall
+}  // namespace tulipyoke
 
-#endif  // NICKELWALL_ROUTER_HPP_
+#endif  // TULIPYOKE_ROUTER_HPP_
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,4 +1,4 @@
-// Every decision of nickelwall. Its types, events and actions are in include/nickelwall/router.hpp.
+// Every decision of tulipyoke. Its types, events and actions are in include/tulipyoke/router.hpp.
 //
 // Sections follow a request's life: arrival, choosing, sending, waiting, the outcome, giving up. Around them
 // stand what is known of servers (list, positions, roles, health, warmth) and the housekeeping.
@@ -8,9 +8,9 @@
 #include <map>
 #include <utility>
 
-#include "nickelwall/router.hpp"
+#include "tulipyoke/router.hpp"
 
-namespace nickelwall {
+namespace tulipyoke {
 namespace {
 
 // Share of a new sample in a smoothed value: about the last ten answers count.
@@ -893,4 +893,4 @@
   state_->Handle(now, event, actions);
 }
 
-}  // namespace nickelwall
+}  // namespace tulipyoke
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -8,7 +8,7 @@
 #include "adapter/instances.hpp"
 #include "adapter/settings_parser.hpp"
 
-namespace nickelwall::wire {
+namespace tulipyoke::wire {
 namespace {
 
 std::string Hex(std::string_view hex) {
@@ -249,4 +249,4 @@
 }
 
 }  // namespace
-}  // namespace nickelwall::wire
+}  // namespace tulipyoke::wire
--- a/tests/invariants_test.cpp
+++ b/tests/invariants_test.cpp
@@ -7,7 +7,7 @@
 
 #include "tests/scene.hpp"
 
-namespace nickelwall {
+namespace tulipyoke {
 namespace {
 
 struct Owed {
@@ -179,4 +179,4 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, InvariantsTest, testing::ValuesIn(AllModes()));
 
 }  // namespace
-}  // namespace nickelwall
+}  // namespace tulipyoke
--- a/tests/readme_example_test.cpp
+++ b/tests/readme_example_test.cpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "nickelwall/router.hpp"
+#include "tulipyoke/router.hpp"
 
 namespace {
 
@@ -19,24 +19,24 @@
 TEST(Readme, ExampleSendsTheRequestToTheOnlyServer) {
   // clang-format off
   // The example begins.
-nickelwall::Settings settings;
+tulipyoke::Settings settings;
 settings.classes.emplace_back();
 settings.classes[0].aim = 300'000;
-nickelwall::Router router(settings, 1);
-std::vector<nickelwall::Action> actions;
-nickelwall::ListEntry server;
+tulipyoke::Router router(settings, 1);
+std::vector<tulipyoke::Action> actions;
+tulipyoke::ListEntry server;
 server.server = 7;
-server.state = nickelwall::ServerState::kReady;
-router.handle(0, nickelwall::ListNews{nickelwall::ListKind::kCached, 1, {server}}, actions);
-nickelwall::RequestArrived request;
+server.state = tulipyoke::ServerState::kReady;
+router.handle(0, tulipyoke::ListNews{tulipyoke::ListKind::kCached, 1, {server}}, actions);
+tulipyoke::RequestArrived request;
 request.id = 42;
 request.remaining = 300'000;
 router.handle(1'000, request, actions);
   // The example ends.
   // clang-format on
   std::size_t sends = 0;
-  for (const nickelwall::Action& action : actions) {
-    const auto* send = std::get_if<nickelwall::Send>(&action);
+  for (const tulipyoke::Action& action : actions) {
+    const auto* send = std::get_if<tulipyoke::Send>(&action);
     if (!send) continue;
     ++sends;
     EXPECT_EQ(send->id, 42u);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -6,7 +6,7 @@
 
 #include "tests/scene.hpp"
 
-namespace nickelwall {
+namespace tulipyoke {
 namespace {
 
 // Positions of both replicas `lag` behind, and the primary heard.
@@ -633,4 +633,4 @@
 }
 
 }  // namespace
-}  // namespace nickelwall
+}  // namespace tulipyoke
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -1,15 +1,15 @@
 // A Router with a scripted world around it: events in, actions out.
-#ifndef NICKELWALL_TESTS_SCENE_HPP_
-#define NICKELWALL_TESTS_SCENE_HPP_
+#ifndef TULIPYOKE_TESTS_SCENE_HPP_
+#define TULIPYOKE_TESTS_SCENE_HPP_
 
 #include <map>
 #include <optional>
 #include <utility>
 #include <vector>
 
-#include "nickelwall/router.hpp"
+#include "tulipyoke/router.hpp"
 
-namespace nickelwall {
+namespace tulipyoke {
 
 inline constexpr Micros kMs = 1000;
 inline constexpr Micros kSecond = 1000 * kMs;
@@ -163,6 +163,6 @@
   return std::nullopt;
 }
 
-}  // namespace nickelwall
+}  // namespace tulipyoke
 
-#endif  // NICKELWALL_TESTS_SCENE_HPP_
+#endif  // TULIPYOKE_TESTS_SCENE_HPP_
