Give up a request unsent by half its time; test parsers, exchange and configuration

At fault: LastUseful in src/rules.cpp, which held unsent requests until near their deadline. Now they are refused, with the time to come back, a check before half their time is over.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -17,8 +17,7 @@
 constexpr double kSmoothing = 0.1;
 // Share of the aim that a class is taken to need before its first answer.
 constexpr double kFirstGuess = 0.25;
-// The limit of own requests at a server falls to this share at each sign of crowding; one a round is
-// regained.
+// The limit of own requests at a server falls to this share at each sign of crowding; one a round returns.
 constexpr double kCrowdedShare = 0.8;
 // An answer later than this share of its aim is such a sign: a full aim leaves nothing for waiting or a
 // second try.
@@ -242,8 +241,8 @@
     s.work_rate = WorkRate(s) + Usual(class_index) / WorkSpan();
     s.work_time = now;
   }
-  // Too many at a server make all of them late: the limit of own requests there falls at each sign (turned
-  // away, timed out, later than kCrowdedAim), once a round, and recovers with each answer in time.
+  // Too many at a server make all late: the limit of own requests there falls at each sign (turned away,
+  // timed out, later than kCrowdedAim), once a round, and recovers with each answer in time.
   void Crowded(Server& s) {
     if (now < s.next_cut) return;
     s.limit = std::max(1.0, kCrowdedShare * std::min(s.limit, static_cast<double>(s.flights.size() + 1)));
@@ -583,12 +582,14 @@
     }
     return true;
   }
-  // The moment after which going on holding it earns nothing.
+  // The moment after which going on holding it earns nothing: unsent by half its time, it is better told to
+  // return.
   Micros LastUseful(const Request& r) const {
     const ClassSettings& c = ClassOf(r.class_index);
     const auto own = static_cast<Micros>(Usual(r.class_index));
     const Micros end = c.late_worth > 0 ? r.deadline : std::min(r.deadline, r.arrived + c.aim);
-    return end - std::min(own, (end - r.arrived) / 2);
+    const Micros last = end - std::min(own, (end - r.arrived) / 2);
+    return r.sends > 0 ? last : std::min(last, (r.arrived + r.deadline) / 2 - check_gap);
   }
   // Sends the request, holds it or gives it up.
   void Route(Request& r) {
@@ -635,7 +636,7 @@
     AskServer(*s, check_gap);
     Hold(r);
   }
-  // Whether a replica showed the bound within a deadline: the read is shed for crowding then, not for lag.
+  // A replica showed the bound within a deadline: the read is shed for crowding then, not for lag.
   bool ShownToAny(const Request& r) {
     const Group& g = groups[r.group];
     const Micros oldest = Position(now - longest_deadline) - ClassOf(r.class_index).bound;
@@ -668,7 +669,7 @@
     Hold(r);
     return true;
   }
-  // True when no replica of the group could ever serve: then the primary is all there is.
+  // No replica of the group could ever serve: the primary is all there is.
   bool NoReplicaLeft(const Request& r) {
     const Group& g = groups[r.group];
     return std::none_of(g.members.begin(), g.members.end(), [&](ServerId id) {
@@ -855,8 +856,7 @@
     PumpAll();
     ForgetTokens();
   }
-  // Old commits are merged into one floor for their group, so that memory stays bounded and no read goes
-  // stale.
+  // Old commits are merged into one floor for their group: memory stays bounded and no read goes stale.
   void ForgetTokens() {
     if (tokens.size() < tokens_kept) return;
     const Micros old = Position(now) - kTokenSpans * std::max(settings.warm_after, longest_deadline);
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,86 @@
+#include "src/config/config.hpp"
+
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+#include <string>
+
+#include "adapter/settings_parser.hpp"
+#include "src/config/listing_json.hpp"
+
+namespace tulipyoke {
+namespace {
+
+const std::string kConfig = R"({"name":"n3","listen":"127.0.0.1:6432","discovery":"127.0.0.1:8500",
+ "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+ "known":{"revision":41,"complete":true,"members":[
+   {"id":"s-1","host_port":"127.0.0.1:6432","locality":"a","flavor":"m2","cell":3,"phase":"terminating",
+    "size":1.5,"up_since_ms":12},
+   {"id":5},{"phase":"in_service"},{"id":"s-2","phase":"resting"}]},
+ "settings":{"failure_domains":["a","b"],"services":[{"name":"map read","semantics":"guarded","group":"cell",
+   "aim":300000,"deadline":1200000}],"domain":{"freshness":["recent"],"lag_allowed":[200000]},
+   "policy_limits":{"connect_timeout":125000,"probes":true},"stats":{"fields":["x0","x1"]}}})";
+
+TEST(Config, ReadsWhatTheProgramIsTold) {
+  const Config c = ParseConfig(kConfig);
+  EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(c.memory_bytes, std::size_t{64} << 20);
+  EXPECT_EQ(c.sockets, 256);
+  EXPECT_EQ(c.connect_timeout, 125'000);
+  EXPECT_EQ(c.idle_close, 15'000'000);
+  EXPECT_EQ(c.zones, (std::vector<std::string>{"a", "b"}));
+  ASSERT_EQ(c.settings.classes.size(), 1u);
+  EXPECT_EQ(c.settings.classes[0].name, "map read");
+  EXPECT_EQ(c.settings.classes[0].effect, Effect::kKeyed);
+  EXPECT_EQ(c.settings.classes[0].freshness, Freshness::kBounded);
+  EXPECT_EQ(c.settings.classes[0].bound, 200'000);
+  EXPECT_TRUE(c.settings.may_probe);
+  EXPECT_EQ(c.settings.report_fields, (std::vector<std::string>{"x0", "x1"}));
+  // Entries that make no sense do not hide the others.
+  ASSERT_EQ(c.known.servers.size(), 1u);
+  EXPECT_EQ(c.known.version, 41u);
+  EXPECT_EQ(c.known.servers[0].state, ServerState::kDraining);
+  EXPECT_EQ(c.known.servers[0].started_unix_ms, 12);
+  EXPECT_EQ(c.known.servers[0].group, 3);
+}
+
+// Guards against two readings of the same settings: the program's JSON and the simulator's lines are one
+// table.
+TEST(Config, JsonAndLinesGiveTheSameSettings) {
+  const Settings json = ParseConfig(kConfig).settings;
+  const Settings lines = wire::ParseSettings(
+      "services.count=1\nservices.0.name=map read\nservices.0.semantics=guarded\nservices.0.group=cell\n"
+      "services.0.aim=300000\nservices.0.deadline=1200000\ndomain.freshness=recent\n"
+      "domain.lag_allowed=200000\npolicy_limits.probes=true\nstats.fields=x0,x1\n");
+  EXPECT_EQ(json.classes[0].name, lines.classes[0].name);
+  EXPECT_EQ(json.classes[0].bound, lines.classes[0].bound);
+  EXPECT_EQ(json.classes[0].repeat_group, lines.classes[0].repeat_group);
+  EXPECT_EQ(json.report_fields, lines.report_fields);
+  EXPECT_EQ(json.may_probe, lines.may_probe);
+}
+
+// Guards against a start with half a configuration: what is wrong is said instead.
+TEST(Config, WhatIsWrongIsSaid) {
+  for (const char* text : {"", "{", "[]", "{}", R"({"settings":{}})", R"({"settings":{"services":7}})",
+                           R"({"settings":{"services":[{"aim":"soon"}]}})",
+                           R"({"seed":"xyz","settings":{"services":[{"name":"a"}]}})",
+                           R"({"limits":{"sockets":3},"settings":{"services":[{"name":"a"}]}})"}) {
+    EXPECT_THROW(ParseConfig(text), std::runtime_error) << text;
+  }
+  for (const char* address : {"", "x", ":1", "h:", "h:70000", "h:1x"}) {
+    EXPECT_THROW(SplitAddress(address), std::runtime_error) << address;
+  }
+  EXPECT_EQ(SplitAddress("127.0.0.1:80").port, 80);
+}
+
+TEST(Listing, WhatIsNoListIsRefused) {
+  EXPECT_THROW(ParseListing("nonsense"), std::runtime_error);
+  EXPECT_THROW(ParseListing(R"({"revision":"x"})"), std::runtime_error);
+  const Listing l =
+      ParseListing(R"({"revision":43,"complete":false,"members":[{"id":"s","phase":"terminated"}]})");
+  EXPECT_FALSE(l.complete);
+  EXPECT_EQ(l.servers[0].state, ServerState::kGone);
+}
+
+}  // namespace
+}  // namespace tulipyoke
--- /dev/null
+++ b/tests/exchange_test.cpp
@@ -0,0 +1,198 @@
+#include "src/exchange/exchange.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "tests/scene.hpp"
+
+namespace tulipyoke {
+namespace {
+
+// The exchange with a fake clock; commands are kept as they come.
+class Bench {
+ public:
+  explicit Bench(Settings settings = TestSettings()) : exchange({settings, 1, {"a", "b"}, {}, 250 * kMs}) {
+    exchange.Start(now, Listing{7, true, {Listed("p"), Listed("q"), Listed("r")}});
+    Collect();
+  }
+  static ListedServer Listed(const std::string& id, const std::string& address = "127.0.0.1:1") {
+    ListedServer s;
+    s.id = id;
+    s.address = address;
+    s.state = ServerState::kReady;
+    return s;
+  }
+  RequestId Ask(int class_index, Micros wait = kSecond) {
+    ClientRequest r;
+    r.class_index = class_index;
+    r.wait = wait;
+    r.key = 5;
+    const RequestId id = exchange.Submit(now, r);
+    Collect();
+    return id;
+  }
+  void End(Ticket ticket, Outcome outcome) {
+    exchange.Finished(now, ticket, std::move(outcome));
+    Collect();
+  }
+  void Pass(Micros span) {
+    const Micros end = now + span;
+    for (auto due = exchange.NextDue(); due && *due <= end; due = exchange.NextDue()) {
+      now = std::max(now, *due);
+      exchange.Tick(now);
+      Collect();
+    }
+    now = end;
+  }
+  void Collect() {
+    for (Command& c : exchange.TakeCommands()) {
+      if (const auto* a = std::get_if<StartAttempt>(&c)) attempts.push_back(*a);
+      if (const auto* p = std::get_if<StartProbe>(&c)) probes.push_back(*p);
+      if (const auto* e = std::get_if<EndTicket>(&c)) ended.push_back(e->ticket);
+      if (const auto* s = std::get_if<SetAddress>(&c)) addresses[s->server] = s->address;
+      if (const auto* a = std::get_if<AnswerRequest>(&c)) answers[a->id].push_back(a->answer);
+    }
+  }
+
+  Micros now = 1'767'225'600 * kSecond;
+  Exchange exchange;
+  std::vector<StartAttempt> attempts;
+  std::vector<StartProbe> probes;
+  std::vector<Ticket> ended;
+  std::map<ServerId, std::string> addresses;
+  std::map<RequestId, std::vector<Answer>> answers;
+};
+
+TEST(Exchange, TheFirstValueIsTheOneAnswer) {
+  Bench b;
+  const RequestId id = b.Ask(kAnyRead);
+  ASSERT_EQ(b.attempts.size(), 1u);
+  EXPECT_EQ(b.attempts[0].give_up, b.now + 400 * kMs);  // worth nothing when late: only to its aim
+  b.End(b.attempts[0].ticket, {.status = Status::kOk, .served = {"s", "value", "t"}});
+  b.End(b.attempts[0].ticket, {.status = Status::kOk, .served = {"s", "other", "t"}});
+  ASSERT_EQ(b.answers[id].size(), 1u);
+  EXPECT_EQ(std::get<Served>(b.answers[id][0]).value.value, "value");
+  b.Pass(5 * kSecond);
+  EXPECT_EQ(b.answers[id].size(), 1u);
+  EXPECT_EQ(b.exchange.live(), 0u);
+}
+
+// Guards against a silent server holding up the final answer, or its attempt being left out for ever.
+TEST(Exchange, ASilentServerEndsInATimeOutAndAnAnswerByTheDeadline) {
+  Bench b;
+  const RequestId id = b.Ask(kAnyRead, 300 * kMs);
+  ASSERT_EQ(b.attempts.size(), 1u);
+  b.Pass(310 * kMs);
+  EXPECT_EQ(b.answers[id].size(), 1u);
+  ASSERT_FALSE(b.ended.empty());
+  EXPECT_EQ(b.ended[0], b.attempts[0].ticket);
+  EXPECT_GE(b.exchange.counters().outcomes[static_cast<std::size_t>(Status::kTimeout)], 1u);
+  EXPECT_EQ(b.exchange.counters().overdue, 0u);
+}
+
+// Guards against answering a client that has gone, and against an outcome for it being lost on the module.
+TEST(Exchange, AClientThatLeavesIsOwedNothing) {
+  Bench b;
+  const RequestId id = b.Ask(kAnyRead);
+  b.exchange.ClientLeft(b.now, id);
+  b.Collect();
+  ASSERT_EQ(b.ended.size(), 1u);  // a safe read is called off
+  b.Pass(3 * kSecond);
+  EXPECT_TRUE(b.answers[id].empty());
+}
+
+// Guards against more than one final answer, or none, whatever the order of outcomes, lists and clients'
+// ends.
+TEST(Exchange, RandomDaysGiveEachRequestExactlyOneAnswer) {
+  for (unsigned seed = 0; seed < 20; ++seed) {
+    std::mt19937 random(seed);
+    Bench b;
+    std::map<RequestId, bool> left;
+    std::size_t handled = 0;
+    for (int step = 0; step < 400; ++step) {
+      left[b.Ask(static_cast<int>(random() % 6), static_cast<Micros>(random() % 900) * kMs)] = false;
+      if (random() % 10 == 0) {
+        auto it = std::next(left.begin(), static_cast<std::ptrdiff_t>(random() % left.size()));
+        if (b.answers[it->first].empty()) it->second = true;
+        b.exchange.ClientLeft(b.now, it->first);
+        b.Collect();
+      }
+      for (std::size_t n = b.attempts.size(); handled < n; ++handled) {
+        if (random() % 3 == 0) continue;  // nothing comes back
+        const Ticket ticket = b.attempts[handled].ticket;
+        b.End(ticket, {.status = static_cast<Status>(random() % 7),
+                       .role = static_cast<Role>(random() % 3),
+                       .position_unix_ms = b.now / 1000 - static_cast<std::int64_t>(random() % 900)});
+      }
+      if (random() % 40 == 0)
+        b.exchange.Heard(b.now, {8, random() % 2 == 0, {Bench::Listed("p"), Bench::Listed("s")}});
+      b.Pass(static_cast<Micros>(random() % 30) * kMs);
+    }
+    b.Pass(10 * kSecond);
+    for (const auto& [id, gone] : left) EXPECT_EQ(b.answers[id].size(), gone ? 0u : 1u) << seed << " " << id;
+    EXPECT_EQ(b.exchange.counters().overdue, 0u);
+    EXPECT_EQ(b.exchange.live(), 0u);
+  }
+}
+
+// Guards against a new address going unseen: an id may come back on another machine.
+TEST(Exchange, AnIdMayComeBackAtANewAddress) {
+  Bench b;
+  ASSERT_EQ(b.addresses.size(), 3u);
+  b.exchange.Heard(b.now, {8, false, {Bench::Listed("q", "127.0.0.2:9")}});
+  b.Collect();
+  EXPECT_EQ(b.addresses.size(), 3u);
+  EXPECT_EQ(b.addresses[2], "127.0.0.2:9");
+}
+
+// Guards against a read taken for newer than it is: positions are rounded down, commits up, to the origin.
+TEST(Exchange, ACommitIsRoundedUpAndASessionReadWaitsForIt) {
+  Settings settings = TestSettings();
+  settings.origin = 1'767'225'000 * kSecond + 500;  // half a millisecond off
+  settings.listed_role = ListedRole::kNone;
+  Bench b(settings);
+  const std::int64_t unix_ms = b.now / 1000;
+  const auto show = [&](ServerId server, Role role, std::int64_t x0) {
+    for (std::size_t i = 0; i < b.probes.size(); ++i) {
+      if (b.probes[i].server != server) continue;
+      b.End(b.probes[i].ticket,
+            {.report = {{"x0", static_cast<double>(x0)}, {"x1", role == Role::kPrimary}}});
+    }
+  };
+  b.Ask(kKeyedWrite);  // nobody is known to be the primary: all are asked
+  ASSERT_EQ(b.probes.size(), 3u);
+  show(2, Role::kReplica, unix_ms - 40);
+  show(3, Role::kReplica, unix_ms - 40);
+  show(1, Role::kPrimary, unix_ms);
+  ASSERT_EQ(b.attempts.size(), 1u);
+  EXPECT_EQ(b.attempts[0].server, 1u);
+  b.End(b.attempts[0].ticket, {.role = Role::kPrimary, .position_unix_ms = unix_ms});
+  b.Ask(kSessionRead);
+  EXPECT_EQ(b.attempts.size(), 1u);  // no replica has shown the commit
+  b.Ask(kAnyRead);
+  ASSERT_EQ(b.attempts.size(), 2u);
+  // The replica shows the very millisecond of the commit: rounded down it is still before the commit rounded
+  // up.
+  b.now += 2 * kMs;
+  b.End(b.attempts[1].ticket, {.role = Role::kReplica, .position_unix_ms = unix_ms});
+  EXPECT_EQ(b.attempts.size(), 2u);
+  b.Ask(kAnyRead);
+  b.End(b.attempts.back().ticket, {.role = Role::kReplica, .position_unix_ms = unix_ms + 1});
+  EXPECT_EQ(b.attempts.size(), 4u);
+}
+
+TEST(Counters, AreNamed) {
+  ExchangeCounters c;
+  c.taken = 3;
+  c.outcomes[4] = 2;
+  const std::string text = ToText(c);
+  EXPECT_NE(text.find("taken=3 "), std::string::npos);
+  EXPECT_NE(text.find("attempt_timeout=2"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace tulipyoke
--- /dev/null
+++ b/tests/pg_test.cpp
@@ -0,0 +1,203 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "src/exchange/exchange.hpp"
+#include "src/pg/answer.hpp"
+#include "src/pg/statement.hpp"
+#include "src/pg/wire.hpp"
+
+namespace tulipyoke::pg {
+namespace {
+
+using Seen = std::vector<std::pair<char, std::string>>;
+
+std::string SampleStream() {
+  std::string bytes;
+  AppendAuthenticationOk(bytes);
+  AppendParameterStatus(bytes, "replication_role", "standby");
+  AppendError(bytes, "ERROR", "53300", "full", "250");
+  AppendDataRow(bytes, std::string("\0\xff'x", 4));
+  AppendMessage(bytes, 'C', std::string(70000, 'c'));
+  AppendReady(bytes);
+  return bytes;
+}
+Seen ReadAll(MessageReader& reader) {
+  Seen seen;
+  while (const auto message = reader.Next()) seen.emplace_back(message->type, message->body);
+  return seen;
+}
+
+// Guards against framing that depends on how the network cuts the stream.
+TEST(MessageReader, RandomCutsGiveTheSameMessages) {
+  const std::string bytes = SampleStream();
+  MessageReader whole(false);
+  whole.Feed(bytes);
+  const Seen expected = ReadAll(whole);
+  ASSERT_EQ(expected.size(), 6u);
+  for (unsigned seed = 0; seed < 50; ++seed) {
+    std::mt19937 random(seed);
+    MessageReader reader(false);
+    Seen seen;
+    for (std::size_t at = 0; at < bytes.size();) {
+      const std::size_t size = std::min<std::size_t>(bytes.size() - at, 1 + random() % (seed % 2 ? 9 : 9000));
+      reader.Feed(std::string_view(bytes).substr(at, size));
+      at += size;
+      for (auto& message : ReadAll(reader)) seen.push_back(std::move(message));
+    }
+    EXPECT_EQ(seen, expected) << seed;
+    EXPECT_EQ(reader.buffered(), 0u);
+  }
+}
+
+// Guards against lengths that would make the reader wait for ever or take memory without end.
+TEST(MessageReader, ImpossibleLengthsAreRefusedAtOnce) {
+  for (const std::string_view bytes :
+       {std::string_view("Q\0\0\0\3", 5), std::string_view("Q\x7f\xff\xff\xff", 5)}) {
+    MessageReader reader(false);
+    reader.Feed(bytes);
+    EXPECT_THROW(reader.Next(), ProtocolError);
+  }
+  MessageReader startup(true);
+  startup.Feed(std::string_view("\0\1\0\0", 4));
+  EXPECT_THROW(startup.Next(), ProtocolError);
+}
+
+// Guards against any bytes at all that crash a parser or run past the end of what came.
+TEST(Parsers, RandomGarbageEndsInAnErrorOrNothing) {
+  int refused = 0;
+  for (unsigned seed = 0; seed < 2000; ++seed) {
+    std::mt19937 random(seed);
+    std::string bytes = SampleStream().substr(0, 160);
+    for (int i = 0; i < 8; ++i) bytes[random() % bytes.size()] = static_cast<char>(random());
+    MessageReader reader(seed % 5 == 0, 4096);
+    AnswerReader answer;
+    reader.Feed(bytes);
+    try {
+      while (const auto message = reader.Next()) answer.Take(*message);
+    } catch (const ProtocolError&) {
+      ++refused;
+    }
+    try {
+      ParseStartup(bytes);
+    } catch (const ProtocolError&) {
+      ++refused;
+    }
+    ParseReport(bytes);
+    HousekeepingOf(bytes);
+  }
+  EXPECT_GT(refused, 1000);
+}
+
+constexpr std::string_view kSelect =
+    "SELECT blob FROM rows WHERE handle = '7f3a' /* "
+    "id=9b1f,c=basket,t=acme,d=480,cluster=2,after=1767225600123 */";
+
+TEST(Statement, FieldsAreTakenAndOnlyTheWaitIsRewritten) {
+  const auto s = ParseStatement(kSelect);
+  ASSERT_TRUE(s);
+  EXPECT_EQ(s->class_name, "basket");
+  EXPECT_EQ(s->tenant, "acme");
+  EXPECT_EQ(s->key, "7f3a");
+  EXPECT_EQ(s->wait_ms, 480);
+  EXPECT_EQ(s->cluster, 2);
+  EXPECT_EQ(s->after_ms, 1767225600123);
+  EXPECT_FALSE(s->repeat);
+  const Payload payload{std::string(kSelect), s->wait_at, s->wait_size};
+  std::string expected(kSelect);
+  expected.replace(expected.find("480"), 3, "77");
+  EXPECT_EQ(payload.WithWait(77), expected);
+  const auto insert = ParseStatement(
+      "INSERT INTO rows (handle, blob) VALUES ('k1', '\\x9f03') RETURNING blob /* id=1,c=w,t=,d=5,k=5c0f,r=1 "
+      "*/ ; ");
+  ASSERT_TRUE(insert);
+  EXPECT_EQ(insert->key, "k1");
+  EXPECT_TRUE(insert->repeat);
+}
+
+// Guards against passing on a statement in a form that no client sends.
+TEST(Statement, WhatLacksAFieldIsNoRequest) {
+  for (const char* text :
+       {"", "SELECT 1", "/* */", "/*/", "*/", "SELECT 1 /* id=1,c=a */", "S /* c=a,d=5 */",
+        "S /* id=1,d=5 */", "S /* id=1,c=a,d=-5 */", "S /* id=1,c=a,d=99999999999999999999 */",
+        "S /* id=1,c=a,d=5x */", "S /* id=1,c=a,d=5,cluster=x */", "S /* id=1,c=a,d=5 */ x"}) {
+    EXPECT_FALSE(ParseStatement(text)) << text;
+  }
+  for (unsigned seed = 0; seed < 2000; ++seed) {
+    std::mt19937 random(seed);
+    std::string text(kSelect);
+    for (int i = 0; i < 4; ++i) text[random() % text.size()] = static_cast<char>(random());
+    const auto s = ParseStatement(text);
+    EXPECT_TRUE(!s || s->wait_at + s->wait_size <= text.size()) << text;
+  }
+}
+
+TEST(Statement, HousekeepingIsToldApart) {
+  EXPECT_EQ(HousekeepingOf("  ;\n"), Housekeeping::kEmpty);
+  EXPECT_EQ(HousekeepingOf("set x to 1"), Housekeeping::kSet);
+  EXPECT_EQ(HousekeepingOf("Reset ALL;"), Housekeeping::kReset);
+  EXPECT_EQ(HousekeepingOf("DISCARD ALL"), Housekeeping::kDiscard);
+  EXPECT_EQ(HousekeepingOf("SETTLE"), Housekeeping::kNone);
+}
+
+struct AnswerCase {
+  const char* code;  // none: a row
+  Status status;
+};
+class AnswerTest : public testing::TestWithParam<AnswerCase> {};
+
+// The table of PROTOCOL: what proves that nothing ran, and what does not.
+TEST_P(AnswerTest, CodesBecomeOutcomes) {
+  AnswerReader reader;
+  std::string error;
+  if (GetParam().code) {
+    AppendError(error, "ERROR", GetParam().code, "");
+    reader.Take({'E', std::string_view(error).substr(5)});
+  } else {
+    reader.Take({'T', "shape"});
+    reader.Take({'D', std::string_view("\0\1\0\0\0\2\0v", 8)});
+    EXPECT_FALSE(reader.Settled());
+    reader.Take({'C', "SELECT 1"});
+  }
+  reader.Take({'S', std::string_view("replication_role\0primary\0", 25)});
+  reader.Take({'S', std::string_view("log_position\0"
+                                     "1767225600123\0",
+                                     27)});
+  EXPECT_TRUE(reader.Take({'Z', "I"}));
+  const auto outcome = reader.Settled();
+  ASSERT_TRUE(outcome);
+  EXPECT_EQ(outcome->status, GetParam().status);
+  EXPECT_EQ(outcome->role, Role::kPrimary);
+  EXPECT_EQ(outcome->position_unix_ms, 1767225600123);
+  EXPECT_EQ(outcome->served.value, GetParam().code ? "" : std::string("\0v", 2));
+}
+INSTANTIATE_TEST_SUITE_P(Table, AnswerTest,
+                         testing::Values(AnswerCase{nullptr, Status::kOk}, AnswerCase{"25006", Status::kMiss},
+                                         AnswerCase{"72000", Status::kMiss},
+                                         AnswerCase{"XX000", Status::kError},
+                                         AnswerCase{"53300", Status::kFull},
+                                         AnswerCase{"57P03", Status::kError}));
+
+// Guards against answers that say more, or less, than one row.
+TEST(Answer, OutOfOrderIsGarbageAndAnUnfinishedOneIsNone) {
+  EXPECT_THROW(AnswerReader().Take({'Z', "I"}), ProtocolError);
+  EXPECT_THROW(AnswerReader().Take({'D', std::string_view("\0\1\0\0\0\0", 6)}), ProtocolError);
+  EXPECT_THROW(AnswerReader().Take({'G', ""}), ProtocolError);
+  EXPECT_FALSE(AnswerReader().Settled());
+  AnswerReader empty;
+  empty.Take({'C', "SELECT 0"});
+  EXPECT_EQ(empty.Settled()->status, Status::kError);
+}
+
+TEST(Report, NumbersByName) {
+  const auto report = ParseReport("x0=1767225600123.5,x1=1,bad,util=,y=0.5z,util=0.61");
+  ASSERT_EQ(report.size(), 3u);
+  EXPECT_EQ(report[0], (std::pair<std::string, double>{"x0", 1767225600123.5}));
+  EXPECT_EQ(report[2], (std::pair<std::string, double>{"util", 0.61}));
+}
+
+}  // namespace
+}  // namespace tulipyoke::pg
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -275,6 +275,19 @@
 
 // ---- Effects and outcomes ----
 
+// Guards against a request that waits here for more than half of its time without any server having seen it:
+// its client, told when to come back, has better odds elsewhere, and such a late refusal is charged for.
+TEST(Primary, AWriteThatNobodyCanTakeIsRefusedBeforeHalfItsTime) {
+  Scene scene;
+  scene.Arrive(1, kKeyedWrite);
+  scene.End(1, 1, Status::kMiss, Role::kReplica);
+  ASSERT_FALSE(SentTo(scene.Arrive(2, kKeyedWrite), 2));
+  EXPECT_FALSE(Refused(scene.Pass(400 * kMs), 2));
+  const auto actions = scene.Pass(100 * kMs);
+  ASSERT_TRUE(Refused(actions, 2));
+  for (const Refuse& r : Only<Refuse>(actions)) EXPECT_GT(r.retry_after, 0);
+}
+
 struct EffectCase {
   int class_index;
   Status status;
