--- a/include/tulipyoke/router.hpp
+++ b/include/tulipyoke/router.hpp
@@ -55,6 +55,7 @@
   bool ask_for_list = false;  // changes come only after Watch or Fetch
   ReportVia reports = ReportVia::kOff;
   std::vector<std::string> report_fields;
+  bool reports_are_floats = true;  // a position in a report may then have been rounded up
   bool may_cancel = false;
   bool may_probe = false;
   bool second_copies = false;
@@ -80,7 +81,7 @@
 };
 
 // What a server said of itself: the fields of Settings::report_fields, in their order.
-using Report = std::vector<float>;
+using Report = std::vector<double>;
 
 enum class Role { kUnknown, kPrimary, kReplica };
 enum class ServerState { kGone, kReady, kDraining };
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -1,6 +1,7 @@
 #include "src/exchange/exchange.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace tulipyoke {
 namespace {
@@ -183,9 +184,11 @@
     const auto it = std::find_if(outcome.report.begin(), outcome.report.end(),
                                  [&](const auto& pair) { return pair.first == field; });
     double value = it == outcome.report.end() ? -1 : it->second;
-    if (field == "x0" && value > 0)
-      value = (value - static_cast<double>(options_.settings.origin) / 1e3) / 1e3;
-    report.push_back(static_cast<float>(value));
+    // Whole milliseconds, rounded down, as in answers; the module wants seconds after the origin.
+    if (field == "x0" && value > 0) {
+      value = (std::floor(value) - static_cast<double>(options_.settings.origin) / 1e3) / 1e3;
+    }
+    report.push_back(value);
   }
   return report;
 }
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t kReadSize = 8192;
 // Bytes read ahead of an answer that is still awaited; beyond them the client's sending is held up.
 constexpr std::size_t kReadAhead = 65536;
+// Answers that a client has not read yet; beyond them its next queries wait.
+constexpr std::size_t kMostUnsent = std::size_t{128} << 10;
+// A client that takes nothing of what is sent to it for so long is given up.
+constexpr Micros kStuck = 30'000'000;
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 constexpr auto kSweepEvery = std::chrono::milliseconds(250);
 // How long a client may take to read the last words to it and close.
@@ -39,6 +43,8 @@
   std::size_t counted = 0;  // of its buffered bytes, in the sum of all clients
   std::string out, on_the_way;
   std::array<char, kReadSize> in{};
+
+  std::size_t unsent() const { return out.size() + on_the_way.size(); }
 };
 
 ClientFront::ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange,
@@ -72,7 +78,8 @@
     }
     // Out of descriptors or memory: make room and try again shortly.
     ++counters_.accept_errors;
-    if (!ShedIdle()) LogLine("cannot accept a client: " + error.message());
+    const bool gone_already = error == asio::error::connection_aborted;
+    if (!gone_already && !ShedIdle()) LogLine("cannot accept a client: " + error.message());
     accept_pause_.expires_after(kAcceptPause);
     accept_pause_.async_wait([this](std::error_code failed) {
       if (!failed) Accept();
@@ -112,7 +119,7 @@
 
 void ClientFront::Process(const ClientPtr& client) {
   try {
-    while (client->request == 0 && !client->ending && !client->closed) {
+    while (client->request == 0 && !client->ending && !client->closed && client->unsent() < kMostUnsent) {
       const std::optional<pg::Message> message = client->reader.Next();
       if (!message) break;
       if (message->type == '\0' && !client->started) {
@@ -140,7 +147,9 @@
       client->reader.buffered() == 0) {
     return Finish(client);
   }
-  if (client->request == 0 || (client->reader.buffered() < kReadAhead && !crowded)) Read(client);
+  const bool held_up = client->unsent() >= kMostUnsent || crowded || client->reader.buffered() >= kReadAhead;
+  // A whole message may be larger than what is read ahead.
+  if (!held_up || (client->request == 0 && client->unsent() < kMostUnsent)) Read(client);
 }
 
 void ClientFront::OnStartup(const ClientPtr& client, std::string_view body) {
@@ -277,7 +286,8 @@
                       if (error) return Close(client);
                       client->on_the_way.clear();
                       client->on_the_way.shrink_to_fit();
-                      Write(client);
+                      client->last_active = clock_.Now();
+                      Process(client);
                     });
 }
 
@@ -362,7 +372,8 @@
   for (const ClientPtr& client : clients) {
     const bool lingers = client->ending && clock_.Now() - client->ending_since > kLinger;
     const bool silent = draining_ && !client->started && clock_.Now() - client->last_active > kLinger;
-    if (lingers || silent) Close(client);
+    const bool stuck = client->writing && clock_.Now() - client->last_active > kStuck;
+    if (lingers || silent || stuck) Close(client);
   }
 }
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -26,10 +26,10 @@
 // The end comes by force at the earliest 0.7 s after the longest deadline, which counts as 3 s at least.
 constexpr Micros kLeastLongestDeadline = 3'000'000;
 constexpr Micros kStopMargin = 600'000;
-// Positions count from shortly before the start where the configuration gives no origin near the present:
-// a report's float would be too coarse otherwise.
+// Positions count from shortly before the start where the configuration's origin is not near the present:
+// counted on another clock, it says nothing of Unix time.
 constexpr Micros kOriginBeforeStart = 600'000'000;
-constexpr Micros kOldestOrigin = 7'200'000'000;
+constexpr Micros kOldestOrigin = 86'400'000'000;
 
 std::size_t SocketBudget(int configured) {
   rlimit limit{};
@@ -46,6 +46,7 @@
 
 ExchangeOptions OptionsOf(const Config& config, Micros now) {
   ExchangeOptions options{config.settings, config.seed, config.zones, config.kinds, config.connect_timeout};
+  options.settings.reports_are_floats = false;
   const Micros origin = options.settings.origin;
   if (origin > now || origin < now - kOldestOrigin) options.settings.origin = now - kOriginBeforeStart;
   return options;
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -19,6 +19,7 @@
  public:
   explicit Node(const Config& config);
 
+  std::uint16_t port() const { return front_.port(); }
   // Until it has been told to stop and has finished what it took.
   void Run();
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -295,23 +295,23 @@
   void HearReport(Server& s, const Report& report) {
     const auto value = [&](int field) {
       const bool there = field >= 0 && static_cast<std::size_t>(field) < report.size();
-      return there ? report[static_cast<std::size_t>(field)] : -1.0F;
+      return there ? report[static_cast<std::size_t>(field)] : -1.0;
     };
-    const float x0 = value(x0_field), x1 = value(x1_field);
+    const double x0 = value(x0_field), x1 = value(x1_field);
     const double queue = value(queue_field), in_work = value(inflight_field) - queue;
     if (queue >= 0 && queue < 1e6) {
       s.queued = queue;
       s.queue_time = now;
       if (queue >= 1 && in_work < 1e6) slots += kSmoothing * (std::max(1.0, in_work) - slots);
     }
-    if (!(x0 > 0 && x0 < 1e12F)) return;
-    // The float may have been rounded up: take the one below.
-    const double below = static_cast<double>(std::nextafter(x0, 0.0F));
+    if (!(x0 > 0 && x0 < 1e12)) return;
+    // A float may have been rounded up: take the one below.
+    const double below = settings.reports_are_floats ? std::nextafter(static_cast<float>(x0), 0.0F) : x0;
     const auto position = static_cast<Micros>(below * 1e6);
     if (position > Position(now)) return;
     // A position is never later than its report, so it dates the role: a primary's exactly.
-    if (x1 == 1.0F) HearRole(s, Role::kPrimary, position + settings.origin);
-    if (x1 == 0.0F) HearRole(s, Role::kReplica, position + settings.origin);
+    if (x1 == 1.0) HearRole(s, Role::kPrimary, position + settings.origin);
+    if (x1 == 0.0) HearRole(s, Role::kReplica, position + settings.origin);
     ShowPosition(s, position, false);
   }
 
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,340 @@
+// The whole router on loopback, between a scripted server and clients made of plain sockets.
+#include "src/net/node.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <array>
+#include <asio.hpp>
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/pg/wire.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+using asio::ip::tcp;
+using Messages = std::vector<std::pair<char, std::string>>;
+
+tcp::endpoint Loopback(std::uint16_t port) { return {asio::ip::address_v4::loopback(), port}; }
+
+// A socket that reads whole messages; a test that waits for what never comes fails instead of hanging.
+class Peer {
+ public:
+  explicit Peer(tcp::socket socket, bool startup_first) : socket_(std::move(socket)), reader_(startup_first) {
+    const timeval limit{30, 0};
+    setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  }
+  void Write(const std::string& bytes) {
+    std::error_code ignored;
+    asio::write(socket_, asio::buffer(bytes), ignored);
+  }
+  // The next message; type 0 at the end of the stream.
+  std::pair<char, std::string> Next() {
+    for (;;) {
+      if (const auto message = reader_.Next()) {
+        if (message->type == '\0') reader_.ExpectTyped();
+        return {message->type ? message->type : 's', std::string(message->body)};
+      }
+      std::array<char, 4096> bytes;
+      const ssize_t size = ::recv(socket_.native_handle(), bytes.data(), bytes.size(), 0);
+      if (size <= 0) return {'\0', ""};
+      reader_.Feed(std::string_view(bytes.data(), static_cast<std::size_t>(size)));
+    }
+  }
+  Messages UntilReady() {
+    Messages seen;
+    do {
+      seen.push_back(Next());
+    } while (seen.back().first != 'Z' && seen.back().first != '\0');
+    return seen;
+  }
+  tcp::socket& socket() { return socket_; }
+
+ private:
+  tcp::socket socket_;
+  pg::MessageReader reader_;
+};
+
+// Answers each query with what the script says; an empty text closes the connection.
+class ScriptedServer {
+ public:
+  using Script = std::function<std::string(const std::string& query)>;
+
+  explicit ScriptedServer(Script script) : script_(std::move(script)), acceptor_(io_, Loopback(0)) {
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~ScriptedServer() {
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    thread_.join();
+    for (std::thread& t : sessions_) t.join();
+  }
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  std::vector<std::string> queries() {
+    const std::lock_guard lock(mutex_);
+    return queries_;
+  }
+
+ private:
+  void Serve() {
+    for (;;) {
+      std::error_code error;
+      tcp::socket socket = acceptor_.accept(error);
+      if (error) return;
+      auto peer = std::make_shared<Peer>(std::move(socket), true);
+      sessions_.emplace_back([this, peer] { Session(*peer); });
+    }
+  }
+  void Session(Peer& peer) {
+    if (peer.Next().first != 's') return;
+    std::string hello;
+    pg::AppendAuthenticationOk(hello);
+    pg::AppendReady(hello);
+    peer.Write(hello);
+    for (auto message = peer.Next(); message.first == 'Q'; message = peer.Next()) {
+      const std::string query = message.second.substr(0, message.second.size() - 1);
+      {
+        const std::lock_guard lock(mutex_);
+        queries_.push_back(query);
+      }
+      const std::string answer = script_(query);
+      if (answer.empty()) return;
+      peer.Write(answer);
+    }
+  }
+
+  Script script_;
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+  std::vector<std::thread> sessions_;
+  std::mutex mutex_;
+  std::vector<std::string> queries_;
+};
+
+std::string Row(const std::string& value) {
+  std::string out;
+  pg::AppendMessage(out, 'T', "described");
+  pg::AppendDataRow(out, value);
+  pg::AppendMessage(out, 'C', std::string("SELECT 1\0", 9));
+  pg::AppendParameterStatus(out, "replication_role", "standby");
+  pg::AppendReady(out);
+  return out;
+}
+
+// A node in a thread of its own, stopped by the signal that stops it in service.
+class Running {
+ public:
+  explicit Running(const std::vector<std::uint16_t>& servers, int sockets = 256) {
+    std::string members;
+    for (const std::uint16_t port : servers) {
+      members += (members.empty() ? "" : ",") + std::string(R"({"id":"s)") + std::to_string(port) +
+                 R"(","host_port":"127.0.0.1:)" + std::to_string(port) + R"(","phase":"in_service"})";
+    }
+    Config config = ParseConfig(
+        R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+           "limits":{"memory_mb":64,"sockets":)" +
+        std::to_string(sockets) + R"(},"known":{"revision":1,"complete":true,"members":[)" + members +
+        R"(]},"settings":{"services":[{"name":"any","aim":20000000,"deadline":20000000,"semantics":"free"}],
+           "domain":{"freshness":["loose"]},
+           "policy_limits":{"retry_after":true,"max_retry_after":500000}}})");
+    node_ = std::make_unique<Node>(config);
+    thread_ = std::thread([this] { node_->Run(); });
+  }
+  ~Running() { Stop(); }
+  void Stop() {
+    if (!thread_.joinable()) return;
+    kill(getpid(), SIGTERM);
+    thread_.join();
+  }
+  Peer Connect() {
+    tcp::socket socket(io_);
+    socket.connect(Loopback(node_->port()));
+    return Peer(std::move(socket), false);
+  }
+  Peer Session() {
+    Peer peer = Connect();
+    std::string hello;
+    pg::AppendStartup(hello, "api", "ledger");
+    peer.Write(hello);
+    EXPECT_EQ(peer.UntilReady().back().first, 'Z');
+    return peer;
+  }
+
+ private:
+  asio::io_context io_;
+  std::unique_ptr<Node> node_;
+  std::thread thread_;
+};
+
+std::string Query(const std::string& text) {
+  std::string out;
+  pg::AppendMessage(out, 'Q', text + '\0');
+  return out;
+}
+std::string Ask(const std::string& id) {
+  return Query("SELECT blob FROM rows WHERE handle = 'k' /* id=" + id + ",c=any,d=20000,cluster=0 */");
+}
+std::string CodeOf(const Messages& messages) {
+  for (const auto& [type, body] : messages) {
+    if (type == 'E') return pg::ParseError(body).code;
+  }
+  return "";
+}
+
+TEST(Node, ServesWhatTheServerMadeAndAnswersInOrder) {
+  ScriptedServer server(
+      [](const std::string& query) { return Row("for " + query.substr(query.find("id="), 4)); });
+  Running node({server.port()});
+  Peer client = node.Session();
+  client.Write(Ask("1") + Ask("2") + Query(""));
+  for (const char* id : {"1", "2"}) {
+    const Messages m = client.UntilReady();
+    ASSERT_EQ(m.size(), 4u);
+    EXPECT_EQ(m[0], (std::pair<char, std::string>{'T', "described"}));
+    EXPECT_EQ(pg::ParseSingleColumn(m[1].second), std::string("for id=") + id);
+  }
+  EXPECT_EQ(client.UntilReady()[0].first, 'I');
+  // The statement passes on as it came, but for the wait.
+  const std::vector<std::string> queries = server.queries();
+  ASSERT_EQ(queries.size(), 2u);
+  EXPECT_EQ(queries[0].substr(0, queries[0].find(",d=") + 1),
+            "SELECT blob FROM rows WHERE handle = 'k' /* id=1,c=any,");
+  EXPECT_EQ(queries[0].substr(queries[0].find(",cluster")), ",cluster=0 */");
+}
+
+// Guards against one client's nonsense harming another, or ending without a clean word.
+TEST(Node, NonsenseEndsInAnErrorForThatClientAlone) {
+  ScriptedServer server([](const std::string&) { return Row("v"); });
+  Running node({server.port()});
+  Peer good = node.Session();
+  Peer asks = node.Session();
+  asks.Write(Query("SELECT 1") + Query("SELECT 1 /* id=1,c=none,d=5 */") + Query("SET x TO 1"));
+  EXPECT_EQ(CodeOf(asks.UntilReady()), "42601");
+  EXPECT_EQ(CodeOf(asks.UntilReady()), "42601");
+  EXPECT_EQ(asks.UntilReady()[0].first, 'C');
+  std::string extended;
+  for (const char type : {'P', 'B', 'E', 'S'}) pg::AppendMessage(extended, type, "");
+  asks.Write(extended);
+  const Messages refused = asks.UntilReady();
+  EXPECT_EQ(refused.size(), 2u);
+  EXPECT_EQ(CodeOf(refused), "0A000");
+  asks.Write(std::string("Q\x7f\xff\xff\xff", 5));
+  EXPECT_EQ(CodeOf(asks.UntilReady()), "08P01");
+  for (unsigned seed = 0; seed < 30; ++seed) {
+    std::mt19937 random(seed);
+    std::string bytes(200, '\0');
+    for (char& c : bytes) c = static_cast<char>(random());
+    Peer bad = node.Connect();
+    bad.Write(bytes);
+    EXPECT_EQ(bad.UntilReady().back().first, '\0') << seed;
+  }
+  Peer encrypted = node.Connect();
+  encrypted.Write(std::string("\0\0\0\10\4\xd2\x16\x2f", 8));
+  char no = 0;
+  EXPECT_EQ(::recv(encrypted.socket().native_handle(), &no, 1, 0), 1);
+  EXPECT_EQ(no, 'N');
+  good.Write(Ask("7"));
+  EXPECT_EQ(good.UntilReady()[0].first, 'T');
+}
+
+// Guards against garbage or a break from a server reaching the client: another server's value does.
+TEST(Node, GarbageAndBreaksEndTheAttemptAndAnotherServerServes) {
+  for (const char* nonsense : {"", "\xff\xff\xff\xff\xff garbage"}) {
+    ScriptedServer bad([&](const std::string&) { return std::string(nonsense); });
+    // It keeps the first request until the other server has had one: the second goes there by its load.
+    ScriptedServer sound([&](const std::string&) {
+      while (bad.queries().empty()) std::this_thread::yield();
+      return Row("sound");
+    });
+    Running node({bad.port(), sound.port()});
+    Peer first = node.Session();
+    Peer second = node.Session();
+    first.Write(Ask("1"));
+    second.Write(Ask("2"));
+    for (Peer* client : {&first, &second}) {
+      const Messages m = client->UntilReady();
+      ASSERT_EQ(m.size(), 4u);
+      EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "sound");
+    }
+    EXPECT_EQ(bad.queries().size(), 1u);
+  }
+}
+
+// Guards against more clients than descriptors: idle ones go first, the busy ones are served.
+TEST(Node, IdleClientsMakeRoomForNewOnes) {
+  ScriptedServer server([](const std::string&) { return Row("v"); });
+  Running node({server.port()}, 64);
+  std::vector<Peer> idle;
+  for (int i = 0; i < 60; ++i) idle.push_back(node.Session());
+  Peer client = node.Session();
+  client.Write(Ask("1"));
+  EXPECT_EQ(client.UntilReady()[0].first, 'T');
+  EXPECT_EQ(idle[0].Next().first, '\0');
+}
+
+// Guards against answers piling up for a client that asks on and on and reads nothing.
+TEST(Node, AClientThatDoesNotReadIsHeldUp) {
+  ScriptedServer server([](const std::string&) { return Row(std::string(60000, 'v')); });
+  Running node({server.port()});
+  Peer greedy = node.Session();
+  std::string asked;
+  for (int i = 0; i < 400; ++i) asked += Ask(std::to_string(i));
+  greedy.Write(asked);
+  Peer other = node.Session();
+  other.Write(Ask("x"));
+  EXPECT_EQ(other.UntilReady()[0].first, 'T');
+  for (int i = 0; i < 400; ++i) ASSERT_EQ(greedy.UntilReady()[0].first, 'T') << i;
+}
+
+// Guards against losing what was taken before a planned restart.
+TEST(Node, AStopFinishesWhatWasTaken) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string&) {
+    const std::lock_guard wait(gate);
+    return Row("late");
+  });
+  Running node({server.port()});
+  Peer busy = node.Session();
+  Peer idle = node.Session();
+  busy.Write(Ask("1"));
+  while (server.queries().empty()) std::this_thread::yield();
+  kill(getpid(), SIGTERM);
+  EXPECT_EQ(idle.Next().first, '\0');  // closed once the window is over
+  gate.unlock();
+  EXPECT_EQ(busy.UntilReady()[0].first, 'T');
+  EXPECT_EQ(busy.Next().first, '\0');
+}
+
+// Guards against a list lost between chunks: lines come out whole, however the answer is cut.
+TEST(WatchParser, RandomCutsGiveTheSameLines) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string answer = head + "5\r\n{\"a\":\r\n4\r\n1}\n\n\r\n7\r\n{\"b\":2}\r\n1\r\n\n\r\n";
+  for (unsigned seed = 0; seed < 60; ++seed) {
+    std::mt19937 random(seed);
+    WatchParser parser;
+    std::vector<std::string> lines;
+    for (std::size_t at = 0; at < answer.size();) {
+      const std::size_t size = std::min<std::size_t>(answer.size() - at, 1 + random() % 12);
+      EXPECT_TRUE(parser.Feed(std::string_view(answer).substr(at, size), lines));
+      at += size;
+    }
+    EXPECT_EQ(lines, (std::vector<std::string>{"{\"a\":1}", "", "{\"b\":2}"}));
+    EXPECT_FALSE(parser.Feed("0\r\n\r\n", lines));
+  }
+  std::vector<std::string> lines;
+  EXPECT_FALSE(WatchParser().Feed("HTTP/1.1 503 Down\r\n\r\n", lines));
+  EXPECT_FALSE(WatchParser().Feed("garbage", lines));
+}
+
+}  // namespace
+}  // namespace tulipyoke::net
