Bound statements under way, turned-away clients and unsent answers; follow discovery in a test

Statements under way are now bounded like unread bytes (an eighth of the memory each; beyond that 53300 with a time to come back), unsent answers to 16 KiB and one more, turned-away clients to 16 at once.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -15,9 +15,14 @@
 // Bytes read ahead of an answer that is still awaited; beyond them the client's sending is held up.
 constexpr std::size_t kReadAhead = 65536;
 // Answers that a client has not read yet; beyond them its next queries wait.
-constexpr std::size_t kMostUnsent = std::size_t{128} << 10;
+constexpr std::size_t kMostUnsent = std::size_t{16} << 10;
+// When a client may come back that was refused for want of memory.
+constexpr int kCrowdedRetryMs = 100;
 // A client that takes nothing of what is sent to it for so long is given up.
 constexpr Micros kStuck = 30'000'000;
+// Clients beyond the limit that are still being told so; any more are told and closed in one go.
+constexpr std::size_t kMostTurnedAway = 16;
+constexpr std::string_view kTooMany = "too many connections";
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 constexpr auto kSweepEvery = std::chrono::milliseconds(250);
 // How long a client may take to read the last words to it and close.
@@ -40,7 +45,8 @@
   bool finished = false, closed = false;
   RequestId request = 0;  // the one that is being answered; 0: none
   Micros last_active = 0, ending_since = 0;
-  std::size_t counted = 0;  // of its buffered bytes, in the sum of all clients
+  // Its parts of the sums over all clients.
+  std::size_t counted = 0, carried = 0;
   std::string out, on_the_way;
   std::array<char, kReadSize> in{};
 
@@ -92,12 +98,20 @@
   std::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   const bool room = clients_.size() < options_.most_clients || ShedIdle();
+  if (!room && clients_.size() >= options_.most_clients + kMostTurnedAway) {
+    ++counters_.turned_away;
+    std::string out;
+    pg::AppendError(out, "FATAL", "53300", kTooMany);
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(out), ignored);
+    return;
+  }
   const auto client = std::make_shared<Client>(std::move(socket));
   client->last_active = clock_.Now();
   clients_.insert(client);
   if (!room) {
     ++counters_.turned_away;
-    EndWith(client, "53300", "too many connections");
+    EndWith(client, "53300", kTooMany);
   }
   Read(client);
 }
@@ -232,6 +246,11 @@
     pg::AppendError(client->out, "ERROR", "42601", reason);
     return pg::AppendReady(client->out);
   }
+  if (carried_ + text.size() > options_.most_buffered) {
+    ++counters_.turned_away;
+    pg::AppendError(client->out, "ERROR", "53300", "too much is under way", std::to_string(kCrowdedRetryMs));
+    return pg::AppendReady(client->out);
+  }
   const Freshness freshness = exchange_.settings().classes[static_cast<std::size_t>(found->second)].freshness;
   const auto tenant = tenants_.find(std::string(statement->tenant));
   ClientRequest request;
@@ -244,6 +263,8 @@
   request.repeat = statement->repeat;
   request.payload =
       std::make_shared<const Payload>(Payload{std::string(text), statement->wait_at, statement->wait_size});
+  client->carried = text.size();
+  carried_ += client->carried;
   client->request = exchange_.Submit(clock_.Now(), request);
   asking_[client->request] = client;
 }
@@ -254,6 +275,7 @@
   const ClientPtr client = it->second;
   asking_.erase(it);
   client->request = 0;
+  carried_ -= std::exchange(client->carried, 0);
   client->last_active = clock_.Now();
   if (const auto* served = std::get_if<Served>(&answer)) {
     pg::AppendMessage(client->out, 'T', served->value.shape);
@@ -315,8 +337,8 @@
   client->closed = true;
   std::error_code ignored;
   client->socket.close(ignored);
-  buffered_ -= client->counted;
-  client->counted = 0;
+  buffered_ -= std::exchange(client->counted, 0);
+  carried_ -= std::exchange(client->carried, 0);
   if (client->request != 0) {
     asking_.erase(client->request);
     exchange_.ClientLeft(clock_.Now(), std::exchange(client->request, 0));
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -21,7 +21,7 @@
 struct FrontOptions {
   asio::ip::tcp::endpoint listen;
   std::size_t most_clients = 0;
-  std::size_t most_buffered = 0;  // bytes of all clients together that wait to be read as messages
+  std::size_t most_buffered = 0;  // bytes of all clients together: unread ones, and as many under way
 };
 
 struct FrontCounters {
@@ -73,7 +73,7 @@
   std::unordered_set<ClientPtr> clients_;
   std::unordered_map<RequestId, ClientPtr> asking_;
   std::unordered_map<std::string, int> classes_, tenants_;
-  std::size_t buffered_ = 0;
+  std::size_t buffered_ = 0, carried_ = 0;  // bytes not read as messages yet; statements under way
   bool draining_ = false;
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -14,11 +14,11 @@
 namespace {
 
 // Descriptors that are neither a client's nor a server's: standard streams, the loop's own, the listening
-// socket, discovery, and room for a connection that is just being accepted or closed.
-constexpr int kOwnDescriptors = 32;
+// socket, discovery, and clients that are being told that there is no room.
+constexpr int kOwnDescriptors = 48;
 constexpr double kClientShare = 0.55;
-// Share of the memory that clients' unread bytes may take.
-constexpr std::size_t kBufferedShare = 6;
+// Share of the memory that clients' unread bytes may take, and as much again their statements under way.
+constexpr std::size_t kBufferedShare = 8;
 // Handlers run in one turn at most, so that timers and commands are not kept waiting by a busy socket.
 constexpr int kHandlersATurn = 64;
 // After SIGTERM clients go on coming for up to 0.4 s: they are served until then as ever.
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -192,6 +192,7 @@
   }
   link->state = Connection::State::kIdle;
   link->idle_since = clock_.Now();
+  if (link->written && link->out.capacity() > kReadSize) link->out = {};
   site.idle.push_back(link);
 }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -7,7 +7,9 @@
 
 #include <array>
 #include <asio.hpp>
+#include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -133,16 +135,17 @@
 // A node in a thread of its own, stopped by the signal that stops it in service.
 class Running {
  public:
-  explicit Running(const std::vector<std::uint16_t>& servers, int sockets = 256) {
+  explicit Running(const std::vector<std::uint16_t>& servers, int sockets = 256,
+                   std::uint16_t discovery = 1) {
     std::string members;
     for (const std::uint16_t port : servers) {
       members += (members.empty() ? "" : ",") + std::string(R"({"id":"s)") + std::to_string(port) +
                  R"(","host_port":"127.0.0.1:)" + std::to_string(port) + R"(","phase":"in_service"})";
     }
     Config config = ParseConfig(
-        R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
-           "limits":{"memory_mb":64,"sockets":)" +
-        std::to_string(sockets) + R"(},"known":{"revision":1,"complete":true,"members":[)" + members +
+        R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(discovery) +
+        R"(","limits":{"memory_mb":64,"sockets":)" + std::to_string(sockets) +
+        R"(},"known":{"revision":1,"complete":true,"members":[)" + members +
         R"(]},"settings":{"services":[{"name":"any","aim":20000000,"deadline":20000000,"semantics":"free"}],
            "domain":{"freshness":["loose"]},
            "policy_limits":{"retry_after":true,"max_retry_after":500000}}})");
@@ -295,6 +298,43 @@
   for (int i = 0; i < 400; ++i) ASSERT_EQ(greedy.UntilReady()[0].first, 'T') << i;
 }
 
+// Guards against a list that is not followed: an id comes back at a new address, told in pieces.
+TEST(Node, FollowsDiscoveryToANewAddress) {
+  ScriptedServer moved([](const std::string&) { return Row("moved"); });
+  asio::io_context io;
+  tcp::acceptor discovery(io, Loopback(0));
+  std::string asked;
+  std::thread agent([&] {
+    tcp::socket socket = discovery.accept();
+    asio::read_until(socket, asio::dynamic_buffer(asked), "\r\n\r\n");
+    const std::string line =
+        R"({"revision":9,"complete":true,"members":[{"id":"s1","host_port":"127.0.0.1:)" +
+        std::to_string(moved.port()) + "\"}]}\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    asio::write(socket, asio::buffer(head + "a\r\n" + line.substr(0, 10) + "\r\n"));
+    std::array<char, 8> size{};
+    std::snprintf(size.data(), size.size(), "%zx", line.size() - 10);
+    asio::write(socket, asio::buffer(size.data() + ("\r\n" + line.substr(10)) + "\r\n"));
+    std::error_code ignored;
+    std::array<char, 1> end{};
+    socket.read_some(asio::buffer(end), ignored);  // until the node ends
+  });
+  {
+    Running node({1}, 256, discovery.local_endpoint().port());  // the known address refuses
+    Peer client = node.Session();
+    Messages m;
+    for (int i = 0; i < 1000 && m.size() != 4; ++i) {
+      client.Write(Ask(std::to_string(i)));
+      m = client.UntilReady();
+      if (m.size() != 4) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    ASSERT_EQ(m.size(), 4u);
+    EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "moved");
+  }
+  agent.join();
+  EXPECT_EQ(asked.substr(0, asked.find(" HTTP")), "GET /registry/instances?follow=1&since=1");
+}
+
 // Guards against losing what was taken before a planned restart.
 TEST(Node, AStopFinishesWhatWasTaken) {
   std::mutex gate;
