Never begin a repeat of a keyed write after its window, however long its connection took

The exchange now states by when an attempt must begin, and the pool reports a later one as moot.

Also: the program says which address cannot be used or listened on, and outlives a closed log.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -14,6 +14,11 @@
   return it == names.end() ? 0 : static_cast<int>(it - names.begin());
 }
 
+bool NeverRan(Status status) {
+  return status == Status::kMiss || status == Status::kFull || status == Status::kConnectFailed ||
+         status == Status::kMoot;
+}
+
 }  // namespace
 
 std::string Payload::WithWait(std::int64_t wait_ms) const {
@@ -51,7 +56,7 @@
 RequestId Exchange::Submit(Micros now, const ClientRequest& request) {
   const RequestId id = next_request_++;
   const Micros deadline = now + std::max<Micros>(request.wait, 0);
-  requests_[id] = {request.class_index, 0, deadline, request.payload};
+  requests_[id] = {request.class_index, 0, deadline, request.payload, kNoLimit};
   ++counters_.taken;
   // Should the module ever leave a request unanswered, the client still gets its answer inside the slack.
   Schedule(deadline + options_.settings.answer_slack / 2, DueKind::kOverdue, id);
@@ -154,6 +159,10 @@
   event.role = outcome.role;
   event.position_ms = PositionMs(outcome, freshness == Freshness::kWrite && outcome.status == Status::kOk);
   event.report = ReportOf(outcome);
+  if (const auto request = requests_.find(out.request);
+      request != requests_.end() && !NeverRan(outcome.status)) {
+    request->second.may_have_run = std::min(request->second.may_have_run, out.sent);
+  }
   if (outcome.status == Status::kOk) Give(out.request, Served{std::move(outcome.served)});
   event.over = !requests_.contains(out.request);
   Pass(now, std::move(event));
@@ -232,6 +241,7 @@
     return;
   }
   Request& request = it->second;
+  const Micros start_by = StartBy(action.id, request);
   const Ticket ticket = next_ticket_++;
   const int attempt = request.sends++;
   out_[ticket] = {false, action.id, attempt, request.class_index, action.server, now};
@@ -240,7 +250,19 @@
   const Micros give_up =
       action.timeout > 0 ? std::min(request.deadline, now + action.timeout) : request.deadline;
   Schedule(give_up, DueKind::kTicket, ticket);
-  commands_.push_back(StartAttempt{ticket, action.server, request.payload, give_up});
+  commands_.push_back(StartAttempt{ticket, action.server, request.payload, give_up, start_by});
+}
+
+// A keyed request may be repeated only within a window of the first attempt that may have run. The module
+// keeps to that when it decides; a connection that is long in coming up must not carry the attempt past it.
+Micros Exchange::StartBy(RequestId id, const Request& request) const {
+  const ClassSettings& c = options_.settings.classes[static_cast<std::size_t>(request.class_index)];
+  if (c.effect != Effect::kKeyed) return kNoLimit;
+  Micros first = request.may_have_run;
+  for (auto it = attempts_.lower_bound({id, 0}); it != attempts_.end() && it->first.first == id; ++it) {
+    first = std::min(first, out_.at(it->second).sent);
+  }
+  return first == kNoLimit ? kNoLimit : first + c.repeat_window;
 }
 
 void Exchange::Do(Micros, const Refuse& action) { Give(action.id, Refused{action.retry_after}); }
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -53,6 +54,7 @@
 
 // One attempt or probe, from its start to its outcome.
 using Ticket = std::uint64_t;
+inline constexpr Micros kNoLimit = std::numeric_limits<Micros>::max();
 
 // Commands. Each StartAttempt and StartProbe is reported back once, unless an EndTicket comes first.
 struct StartAttempt {
@@ -60,6 +62,7 @@
   ServerId server = 0;
   std::shared_ptr<const Payload> payload;
   Micros give_up = 0;
+  Micros start_by = 0;  // not begun by then, it is not to be sent any more: its outcome is moot
 };
 struct StartProbe {
   Ticket ticket = 0;
@@ -128,6 +131,7 @@
     int class_index = 0, sends = 0;
     Micros deadline = 0;
     std::shared_ptr<const Payload> payload;
+    Micros may_have_run = kNoLimit;  // send of the first attempt that did or may have
   };
   struct Out {
     bool probe = false;
@@ -149,6 +153,7 @@
   void Schedule(Micros when, DueKind kind, std::uint64_t id);
   void EndOut(Micros now, Ticket ticket, Outcome outcome);
   void Give(RequestId id, Answer answer);
+  Micros StartBy(RequestId id, const Request& request) const;
   std::optional<std::int64_t> PositionMs(const Outcome& outcome, bool commit) const;
   Report ReportOf(const Outcome& outcome) const;
   ListNews NewsOf(const Listing& listing, ListKind kind);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,5 @@
 // The router as a program: reads its configuration, serves, and says in one line why it can't.
-#include <cstdio>
+#include <csignal>
 #include <exception>
 
 #include "src/config/config.hpp"
@@ -7,6 +7,7 @@
 #include "src/net/node.hpp"
 
 int main() {
+  std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may end first
   try {
     tulipyoke::net::Node node(tulipyoke::LoadConfig());
     node.Run();
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
-#include "src/config/config.hpp"
 #include "src/config/listing_json.hpp"
+#include "src/net/address.hpp"
 #include "src/net/log.hpp"
 
 namespace tulipyoke::net {
@@ -71,12 +71,11 @@
     : io_(io),
       clock_(clock),
       exchange_(exchange),
+      endpoint_(ToEndpoint(address)),
       host_(address),
       version_(version),
       silence_(io),
       retry_(io) {
-  const HostPort parts = SplitAddress(address);
-  endpoint_ = {asio::ip::make_address(parts.host), parts.port};
   Connect();
 }
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <chrono>
 #include <functional>
+#include <stdexcept>
+#include <system_error>
 #include <utility>
 
 #include "src/net/log.hpp"
@@ -59,11 +61,19 @@
       clock_(clock),
       exchange_(exchange),
       options_(options),
-      acceptor_(io, options.listen),
+      acceptor_(io),
       accept_pause_(io),
       sweep_(io) {
-  acceptor_.listen(asio::socket_base::max_listen_connections);
-  acceptor_.non_blocking(true);
+  try {
+    acceptor_.open(options.listen.protocol());
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor_.bind(options.listen);
+    acceptor_.listen(asio::socket_base::max_listen_connections);
+    acceptor_.non_blocking(true);
+  } catch (const std::system_error& error) {
+    throw std::runtime_error("cannot listen on port " + std::to_string(options.listen.port()) + " of " +
+                             options.listen.address().to_string() + ": " + error.code().message());
+  }
   const Settings& settings = exchange.settings();
   for (const ClassSettings& c : settings.classes)
     classes_.try_emplace(c.name, static_cast<int>(classes_.size()));
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -30,7 +30,7 @@
 
 class ClientFront {
  public:
-  // Throws std::system_error where the address cannot be listened on.
+  // Throws std::runtime_error where the address cannot be listened on.
   ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const FrontOptions& options);
   ~ClientFront();
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <variant>
 
+#include "src/net/address.hpp"
 #include "src/net/log.hpp"
 
 namespace tulipyoke::net {
@@ -59,10 +60,8 @@
 }
 
 FrontOptions FrontOptionsOf(const Config& config) {
-  const HostPort parts = SplitAddress(config.listen);
   const std::size_t budget = SocketBudget(config.sockets);
-  return {asio::ip::tcp::endpoint(asio::ip::make_address(parts.host), parts.port),
-          static_cast<std::size_t>(kClientShare * static_cast<double>(budget)),
+  return {ToEndpoint(config.listen), static_cast<std::size_t>(kClientShare * static_cast<double>(budget)),
           config.memory_bytes / kBufferedShare};
 }
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <utility>
 
-#include "src/config/config.hpp"
+#include "src/net/address.hpp"
 #include "src/net/log.hpp"
 #include "src/pg/answer.hpp"
 #include "src/pg/wire.hpp"
@@ -59,10 +59,10 @@
 ServerPool::~ServerPool() = default;
 
 void ServerPool::Start(const StartAttempt& attempt) {
-  Place(attempt.server, {attempt.ticket, attempt.payload, attempt.give_up});
+  Place(attempt.server, {attempt.ticket, attempt.payload, attempt.give_up, attempt.start_by});
 }
 
-void ServerPool::Start(const StartProbe& probe) { Place(probe.server, {probe.ticket, nullptr, 0}); }
+void ServerPool::Start(const StartProbe& probe) { Place(probe.server, {probe.ticket}); }
 
 void ServerPool::Place(ServerId server, Job job) {
   Site& site = sites_[server];
@@ -197,6 +197,11 @@
 }
 
 void ServerPool::Run(const Link& link, Job job) {
+  // Its connection took too long: sent now, it could take effect a second time.
+  if (job.start_by < clock_.Now()) {
+    exchange_.Finished(clock_.Now(), job.ticket, Outcome{.status = Status::kMoot});
+    return OnReady(link);
+  }
   link->state = Connection::State::kBusy;
   link->ticket = job.ticket;
   link->answer = {};
@@ -270,8 +275,7 @@
 void ServerPool::SetAddress(ServerId server, const std::string& address) {
   Site& site = sites_[server];
   try {
-    const HostPort parts = SplitAddress(address);
-    site.endpoint = asio::ip::tcp::endpoint(asio::ip::make_address(parts.host), parts.port);
+    site.endpoint = ToEndpoint(address);
   } catch (const std::exception& error) {
     site.endpoint.reset();
     LogLine("a server has an unusable address: " + std::string(error.what()));
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -48,8 +48,9 @@
  private:
   struct Job {
     Ticket ticket = 0;
-    std::shared_ptr<const Payload> payload;  // none: a probe
+    std::shared_ptr<const Payload> payload = {};  // none: a probe
     Micros give_up = 0;
+    Micros start_by = kNoLimit;
   };
   struct Connection;
   using Link = std::shared_ptr<Connection>;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -24,6 +24,7 @@
     s.id = id;
     s.address = address;
     s.state = ServerState::kReady;
+    s.leads = id == "p";
     return s;
   }
   RequestId Ask(int class_index, Micros wait = kSecond) {
@@ -94,6 +95,28 @@
   EXPECT_EQ(b.exchange.counters().overdue, 0u);
 }
 
+// Guards against a keyed write that waits for a connection until past the window in which repeats are
+// dropped.
+TEST(Exchange, ARepeatOfAKeyedWriteStatesWhenItIsTooLate) {
+  Bench b;
+  for (int i = 0; i < 8; ++i) b.Ask(kAnyRead);  // each adds to what the module grants to further tries
+  EXPECT_EQ(b.attempts[0].start_by, kNoLimit);
+  b.attempts.clear();
+  b.Ask(kKeyedWrite);
+  ASSERT_EQ(b.attempts.size(), 1u);
+  EXPECT_EQ(b.attempts[0].start_by, kNoLimit);
+  b.End(b.attempts[0].ticket, {.status = Status::kFull});  // never ran: no window has begun
+  while (b.attempts.size() == 1 && b.exchange.live() > 0) b.Pass(kMs);
+  ASSERT_EQ(b.attempts.size(), 2u);
+  EXPECT_EQ(b.attempts[1].start_by, kNoLimit);
+  const Micros sent = b.now;
+  b.Pass(20 * kMs);
+  b.End(b.attempts[1].ticket, {.status = Status::kError});  // it may have run
+  while (b.attempts.size() == 2 && b.exchange.live() > 0) b.Pass(kMs);
+  ASSERT_EQ(b.attempts.size(), 3u);
+  EXPECT_EQ(b.attempts[2].start_by, sent + 600 * kMs);
+}
+
 // Guards against answering a client that has gone, and against an outcome for it being lost on the module.
 TEST(Exchange, AClientThatLeavesIsOwedNothing) {
   Bench b;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -355,6 +355,29 @@
   EXPECT_EQ(busy.Next().first, '\0');
 }
 
+// Guards against a repeat that is begun after its time because its connection was long in coming up.
+TEST(ServerPool, WhatIsTooLateIsNotBegun) {
+  ScriptedServer server([](const std::string&) { return Row("v"); });
+  asio::io_context io;
+  LoopClock clock;
+  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
+  ServerPool pool(io, clock, exchange, {30'000'000, 30'000'000, 8});
+  pool.SetAddress(1, "127.0.0.1:" + std::to_string(server.port()));
+  const auto payload = std::make_shared<const Payload>(Payload{"late", 0, 0});
+  const auto in_time = std::make_shared<const Payload>(Payload{" is d", 0, 0});
+  const Micros far = clock.Now() + 60'000'000;
+  pool.Start(StartAttempt{1, 1, payload, far, clock.Now() - 1});
+  pool.Start(StartAttempt{2, 1, in_time, far, far});
+  while (server.queries().empty() && clock.Now() < far) {
+    clock.NewTurn();
+    io.run_one();
+  }
+  const std::vector<std::string> queries = server.queries();
+  ASSERT_EQ(queries.size(), 1u);
+  EXPECT_TRUE(queries[0].ends_with(" is d")) << queries[0];
+  pool.Stop();
+}
+
 // Guards against a list lost between chunks: lines come out whole, however the answer is cut.
 TEST(WatchParser, RandomCutsGiveTheSameLines) {
   const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
