Reread the configuration on SIGHUP and move the watch to its address of discovery

Ruled out: the watch itself, which follows any address it is given. Changed: signals are blocked in main until the node handles them; SIGHUP reads LB_CONFIG again, the file's discovery address prevails over LB_DISCOVERY, the new watch starts from version 0 while the old one is kept until the new one has told something; an unusable file is one log line. A connection to discovery that is not up within 1 s is given up (it waited 5 s).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -98,14 +98,18 @@
   }
 }
 
-Config LoadConfig() {
+Config ReloadConfig() {
   const char* path = std::getenv("LB_CONFIG");
   if (!path || !*path) throw std::runtime_error("LB_CONFIG names no configuration file");
   std::ifstream file(path);
   std::stringstream text;
   text << file.rdbuf();
   if (!file) throw std::runtime_error(std::string("cannot read ") + path);
-  Config config = ParseConfig(text.str());
+  return ParseConfig(text.str());
+}
+
+Config LoadConfig() {
+  Config config = ReloadConfig();
   const auto prevail = [](const char* name, std::string& value) {
     const char* given = std::getenv(name);
     if (given && *given) value = given;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -29,6 +29,9 @@
 Config ParseConfig(std::string_view text);
 // Reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY prevail where they are set.
 Config LoadConfig();
+// Reads that file anew while the program runs. The variables are as old as the program, so that the file's
+// word stands alone.
+Config ReloadConfig();
 
 struct HostPort {
   std::string host;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,8 +8,14 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may end first
+  // Signals that come before the node handles them wait: one to reread the configuration must not end it.
+  sigset_t handled, before;
+  sigemptyset(&handled);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT, SIGUSR1}) sigaddset(&handled, signal);
+  sigprocmask(SIG_BLOCK, &handled, &before);
   try {
     tulipyoke::net::Node node(tulipyoke::LoadConfig());
+    sigprocmask(SIG_SETMASK, &before, nullptr);
     node.Run();
     return 0;
   } catch (const std::exception& error) {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -15,6 +15,8 @@
 
 // An empty line comes every 2 s; after two of them are missing the watch is taken for dead.
 constexpr auto kSilence = std::chrono::milliseconds(5000);
+// The agent runs on this machine: a connection that is not up by then never comes up.
+constexpr auto kConnectWait = std::chrono::milliseconds(1000);
 constexpr std::chrono::milliseconds kFirstRetry(100);
 constexpr int kMostDoublings = 4;
 constexpr std::size_t kLongestLine = std::size_t{4} << 20;
@@ -83,10 +85,14 @@
   ++counters_.connects;
   const auto session = std::make_shared<Session>(io_);
   session_ = session;
-  ArmSilence(session);
+  silence_.expires_after(kConnectWait);
+  silence_.async_wait([this, session](std::error_code error) {
+    if (!error) Lost(session, "no connection in time");
+  });
   session->socket.async_connect(endpoint_, [this, session](std::error_code error) {
     if (session != session_) return;
     if (error) return Lost(session, error.message());
+    ArmSilence(session);
     session->request = "GET /registry/instances?follow=1&since=" + std::to_string(version_) +
                        " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n";
     asio::async_write(session->socket, asio::buffer(session->request),
@@ -100,23 +106,26 @@
 void DiscoveryWatch::Read(const SessionPtr& session) {
   session->socket.async_read_some(
       asio::buffer(session->in), [this, session](std::error_code error, std::size_t size) {
-        if (session != session_) return;
+        if (!Followed(session)) return;
         if (error) return Lost(session, error.message());
         ArmSilence(session);
         std::vector<std::string> lines;
         const bool goes_on = session->parser.Feed(std::string_view(session->in.data(), size), lines);
-        for (const std::string& line : lines) Take(line);
+        for (const std::string& line : lines) Take(session, line);
         if (!goes_on) return Lost(session, "the answer ended or was no watch");
         Read(session);
       });
 }
 
-void DiscoveryWatch::Take(const std::string& line) {
-  failures_ = 0;
+void DiscoveryWatch::Take(const SessionPtr& session, const std::string& line) {
+  const bool current = session == session_;
+  if (current) failures_ = 0;
   if (line.find_first_not_of(" \t\r") == std::string::npos) return;
   try {
     const Listing listing = ParseListing(line);
-    version_ = listing.version;
+    // Versions of two addresses are not comparable: what the former one tells must not be asked of this one.
+    if (current) version_ = listing.version;
+    if (current) Drop(former_);
     exchange_.Heard(clock_.Now(), listing);
   } catch (const std::exception& error) {
     if (counters_.bad_lines++ == 0)
@@ -125,10 +134,10 @@
 }
 
 void DiscoveryWatch::Lost(const SessionPtr& session, const std::string& why) {
-  if (session != session_ || stopped_) return;
-  std::error_code ignored;
-  session->socket.close(ignored);
-  session_.reset();
+  if (stopped_) return;
+  if (session == former_) return Drop(former_);
+  if (session != session_) return;
+  Drop(session_);
   silence_.cancel();
   ++counters_.lost;
   // Said once an outage: the tries that follow it are counted.
@@ -141,7 +150,14 @@
   });
 }
 
+void DiscoveryWatch::Drop(SessionPtr& session) {
+  std::error_code ignored;
+  if (session) session->socket.close(ignored);
+  session.reset();
+}
+
 void DiscoveryWatch::ArmSilence(const SessionPtr& session) {
+  if (session != session_) return;  // the former watch ends with the new one's first word or its own end
   silence_.expires_after(kSilence);
   silence_.async_wait([this, session](std::error_code error) {
     if (!error) Lost(session, "no word in time");
@@ -153,13 +169,26 @@
   if (session_) Lost(session_, "the whole list is wanted");
 }
 
+void DiscoveryWatch::Redirect(const std::string& address) {
+  endpoint_ = ToEndpoint(address);
+  host_ = address;
+  version_ = 0;
+  failures_ = 0;
+  retry_.cancel();
+  // Told twice in a row, before the first new address has said anything: the oldest one still has the list.
+  if (!former_)
+    former_ = session_;
+  else
+    Drop(session_);
+  Connect();
+}
+
 void DiscoveryWatch::Stop() {
   stopped_ = true;
   silence_.cancel();
   retry_.cancel();
-  std::error_code ignored;
-  if (session_) session_->socket.close(ignored);
-  session_.reset();
+  Drop(session_);
+  Drop(former_);
 }
 
 }  // namespace tulipyoke::net
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -49,6 +49,9 @@
 
   // Asks for the whole list anew.
   void Refresh();
+  // Watches another address from now on, from its whole list. The old watch is kept up until the new one has
+  // told something, so that nothing is missed between the two. Throws std::runtime_error.
+  void Redirect(const std::string& address);
   void Stop();
   const DiscoveryCounters& counters() const { return counters_; }
 
@@ -58,9 +61,11 @@
 
   void Connect();
   void Read(const SessionPtr& session);
-  void Take(const std::string& line);
+  void Take(const SessionPtr& session, const std::string& line);
   void Lost(const SessionPtr& session, const std::string& why);
   void ArmSilence(const SessionPtr& session);
+  bool Followed(const SessionPtr& session) const { return session == session_ || session == former_; }
+  void Drop(SessionPtr& session);
 
   asio::io_context& io_;
   LoopClock& clock_;
@@ -71,6 +76,7 @@
   DiscoveryCounters counters_;
   asio::steady_timer silence_, retry_;
   SessionPtr session_;
+  SessionPtr former_;  // the watch on the address before, until the new one has told something
   int failures_ = 0;
   bool stopped_ = false;
 };
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstddef>
+#include <exception>
 #include <variant>
 
 #include "src/net/address.hpp"
@@ -69,13 +70,14 @@
 
 Node::Node(const Config& config)
     : config_(config),
+      signals_(io_, SIGHUP, SIGTERM, SIGINT),
       exchange_(OptionsOf(config, clock_.Now())),
       pool_(io_, clock_, exchange_, PoolOptionsOf(config)),
       front_(io_, clock_, exchange_, FrontOptionsOf(config)),
       discovery_(io_, clock_, exchange_, config.discovery, config.known.version),
-      signals_(io_, SIGTERM, SIGINT, SIGUSR1),
       due_timer_(io_),
       stop_timer_(io_) {
+  signals_.add(SIGUSR1);
   exchange_.Start(clock_.Now(), config.known);
   AwaitSignal();
   const std::string host = SplitAddress(config.listen).host;
@@ -144,6 +146,8 @@
     if (error) return;
     if (signal == SIGUSR1) {
       PrintCounters();
+    } else if (signal == SIGHUP) {
+      Reload();
     } else if (!stop_asked_) {
       stop_asked_ = clock_.Now();
       LogLine("told to stop");
@@ -152,6 +156,17 @@
   });
 }
 
+// Of a new configuration only the address of discovery is taken over: all else was built into what runs.
+void Node::Reload() {
+  try {
+    const std::string address = ReloadConfig().discovery;
+    discovery_.Redirect(address);
+    LogLine("configuration read anew: discovery is at " + address);
+  } catch (const std::exception& error) {
+    LogLine("the new configuration is not used: " + std::string(error.what()));
+  }
+}
+
 void Node::PrintCounters() const {
   const auto text = [](const char* name, std::uint64_t value) {
     return std::string(" ") + name + "=" + std::to_string(value);
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -27,16 +27,18 @@
   void EndTurn();
   void Carry(const Command& command);
   void AwaitSignal();
+  void Reload();
   void PrintCounters() const;
 
   Config config_;
   asio::io_context io_{1};
+  // Before all that takes time: a signal that comes while the rest is being set up is handled afterwards.
+  asio::signal_set signals_;
   LoopClock clock_;
   Exchange exchange_;
   ServerPool pool_;
   ClientFront front_;
   DiscoveryWatch discovery_;
-  asio::signal_set signals_;
   asio::steady_timer due_timer_, stop_timer_;
   std::optional<Micros> armed_for_;
   std::optional<Micros> stop_asked_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -298,41 +300,98 @@
   for (int i = 0; i < 400; ++i) ASSERT_EQ(greedy.UntilReady()[0].first, 'T') << i;
 }
 
-// Guards against a list that is not followed: an id comes back at a new address, told in pieces.
-TEST(Node, FollowsDiscoveryToANewAddress) {
-  ScriptedServer moved([](const std::string&) { return Row("moved"); });
-  asio::io_context io;
-  tcp::acceptor discovery(io, Loopback(0));
-  std::string asked;
-  std::thread agent([&] {
-    tcp::socket socket = discovery.accept();
-    asio::read_until(socket, asio::dynamic_buffer(asked), "\r\n\r\n");
+// Discovery for one watch: keeps what was asked, tells the one server, in pieces, and stays open.
+class Agent {
+ public:
+  explicit Agent(std::uint16_t server) : server_(server), acceptor_(io_, Loopback(0)) {
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~Agent() {
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    thread_.join();
+  }
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  // Once the node has ended or turned away.
+  std::string asked() {
+    thread_.join();
+    thread_ = std::thread([] {});
+    return asked_.substr(0, asked_.find(" HTTP"));
+  }
+
+ private:
+  void Serve() {
+    std::error_code ignored;
+    tcp::socket socket = acceptor_.accept(ignored);
+    if (ignored) return;
+    asio::read_until(socket, asio::dynamic_buffer(asked_), "\r\n\r\n", ignored);
     const std::string line =
         R"({"revision":9,"complete":true,"members":[{"id":"s1","host_port":"127.0.0.1:)" +
-        std::to_string(moved.port()) + "\"}]}\n";
+        std::to_string(server_) + "\"}]}\n";
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    asio::write(socket, asio::buffer(head + "a\r\n" + line.substr(0, 10) + "\r\n"));
+    asio::write(socket, asio::buffer(head + "a\r\n" + line.substr(0, 10) + "\r\n"), ignored);
     std::array<char, 8> size{};
     std::snprintf(size.data(), size.size(), "%zx", line.size() - 10);
-    asio::write(socket, asio::buffer(size.data() + ("\r\n" + line.substr(10)) + "\r\n"));
-    std::error_code ignored;
+    asio::write(socket, asio::buffer(size.data() + ("\r\n" + line.substr(10)) + "\r\n"), ignored);
     std::array<char, 1> end{};
-    socket.read_some(asio::buffer(end), ignored);  // until the node ends
-  });
+    socket.read_some(asio::buffer(end), ignored);
+  }
+
+  std::uint16_t server_;
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::string asked_;
+  std::thread thread_;
+};
+
+// Asks until a server has answered: what the list tells takes its time.
+std::string FirstValue(Running& node, const std::string& wanted) {
+  Peer client = node.Session();
+  std::string value;
+  for (int i = 0; i < 3000 && value != wanted; ++i) {
+    client.Write(Ask(std::to_string(i)));
+    const Messages m = client.UntilReady();
+    if (m.size() == 4) value = pg::ParseSingleColumn(m[1].second);
+    if (value != wanted) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return value;
+}
+
+// Guards against a list that is not followed: an id comes back at a new address, told in pieces.
+TEST(Node, FollowsDiscoveryToANewAddress) {
+  ScriptedServer moved([](const std::string&) { return Row("moved"); });
+  Agent agent(moved.port());
   {
-    Running node({1}, 256, discovery.local_endpoint().port());  // the known address refuses
-    Peer client = node.Session();
-    Messages m;
-    for (int i = 0; i < 1000 && m.size() != 4; ++i) {
-      client.Write(Ask(std::to_string(i)));
-      m = client.UntilReady();
-      if (m.size() != 4) std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    }
-    ASSERT_EQ(m.size(), 4u);
-    EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "moved");
+    Running node({1}, 256, agent.port());  // the known address refuses
+    EXPECT_EQ(FirstValue(node, "moved"), "moved");
+  }
+  EXPECT_EQ(agent.asked(), "GET /registry/instances?follow=1&since=1");
+}
+
+// Guards against a SIGHUP that ends the program, or after which the old address of discovery is still
+// watched, by LB_DISCOVERY or for want of a new connection; and against a bad file harming what runs.
+TEST(Node, ANewConfigurationMovesTheWatchAndABadOneChangesNothing) {
+  ScriptedServer first([](const std::string&) { return Row("first"); });
+  ScriptedServer second([](const std::string&) { return Row("second"); });
+  Agent before(first.port()), after(second.port());
+  const std::string path = testing::TempDir() + "tulipyoke_reload_test.json";
+  setenv("LB_CONFIG", path.c_str(), 1);
+  setenv("LB_DISCOVERY", ("127.0.0.1:" + std::to_string(before.port())).c_str(), 1);
+  {
+    Running node({1}, 256, before.port());
+    EXPECT_EQ(FirstValue(node, "first"), "first");
+    std::ofstream(path) << "{\"name\":";
+    kill(getpid(), SIGHUP);
+    EXPECT_EQ(FirstValue(node, "first"), "first");
+    std::ofstream(path) << R"({"listen":"127.0.0.1:0","settings":{"services":[{"name":"any"}]},)"
+                        << R"("discovery":"127.0.0.1:)" << after.port() << "\"}";
+    kill(getpid(), SIGHUP);
+    EXPECT_EQ(FirstValue(node, "second"), "second");
   }
-  agent.join();
-  EXPECT_EQ(asked.substr(0, asked.find(" HTTP")), "GET /registry/instances?follow=1&since=1");
+  unsetenv("LB_CONFIG");
+  unsetenv("LB_DISCOVERY");
+  std::remove(path.c_str());
+  EXPECT_EQ(before.asked(), "GET /registry/instances?follow=1&since=1");
+  EXPECT_EQ(after.asked(), "GET /registry/instances?follow=1&since=0");
 }
 
 // Guards against losing what was taken before a planned restart.
--- a/tests/start_program.sh
+++ b/tests/start_program.sh
@@ -28,6 +28,14 @@
   sleep 0.1
 done
 grep -q "serves on" "$folder/log" || { kill -9 "$pid"; fail "it does not start"; }
+# Guards against a SIGHUP that ends the program.
+kill -HUP "$pid"
+moved="read anew: discovery is at 127.0.0.1:1"
+for _ in $(seq 1 300); do
+  grep -q "$moved" "$folder/log" && break
+  sleep 0.1
+done
+grep -q "$moved" "$folder/log" || { kill -9 "$pid"; fail "SIGHUP moves nothing"; }
 kill -TERM "$pid"
 wait "$pid" || fail "it does not end in order"
 grep -q "requests: taken=0" "$folder/log" || fail "no counters at its end"
