Read answers to their end, take spoilt ones for errors, and retire connections on stray bytes

OnReady gave a connection to the next request at once, so a second copy behind an answer could pass for that request's value (a lost request); a few stray bytes on an idle connection stayed in the reader; a spoilt answer after CommandComplete counted as served; and any other one became a reset, for which the module takes the whole server for unreachable (src/rules.cpp, LearnOutcome). Changed: a spoilt answer is an error that may have run, and its connection closes; each message is read to its end; a connection rests 2 ms after an answer and is looked at again before it is used; a report is taken whole or not at all.

--- a/src/exchange/outcome.cpp
+++ b/src/exchange/outcome.cpp
@@ -1,6 +1,7 @@
 #include "src/exchange/outcome.hpp"
 
 #include <charconv>
+#include <cmath>
 #include <string_view>
 
 namespace tulipyoke {
@@ -13,11 +14,12 @@
     const std::string_view pair = rest.substr(0, comma);
     rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
     const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) continue;
+    if (equals == std::string_view::npos) return {};
     const std::string_view number = pair.substr(equals + 1);
     double value = 0;
     const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), value);
-    if (error != std::errc() || end != number.data() + number.size()) continue;
+    const bool whole = error == std::errc() && end == number.data() + number.size();
+    if (!whole || !std::isfinite(value)) return {};
     report.emplace_back(pair.substr(0, equals), value);
   }
   return report;
--- a/src/exchange/outcome.hpp
+++ b/src/exchange/outcome.hpp
@@ -26,7 +26,7 @@
   std::vector<std::pair<std::string, double>> report = {};  // by field name; positions as on sockets
 };
 
-// "inflight=7,util=0.61"; what is no number is passed over.
+// "inflight=7,util=0.61"; empty where any part of it cannot be read: the rest is not to be trusted either.
 std::vector<std::pair<std::string, double>> ParseReport(const std::string& text);
 
 }  // namespace tulipyoke
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -180,7 +180,8 @@
           text("accept_errors", f.accept_errors));
   LogLine("servers:" + text("open", pool_.connections()) + text("opened", p.opened) +
           text("open_failed", p.open_failed) + text("retired", p.retired) + text("given_up", p.given_up) +
-          text("broken", p.broken) + text("garbage", p.garbage) + text("no_room", p.no_room));
+          text("broken", p.broken) + text("garbage", p.garbage) + text("stray", p.stray) +
+          text("no_room", p.no_room));
   LogLine("discovery:" + text("connects", d.connects) + text("lost", d.lost) +
           text("bad_lines", d.bad_lines));
 }
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -19,6 +19,9 @@
 // A connection is retired well before the server closes it: a query that crosses its close ends as a reset.
 constexpr double kIdleShare = 0.6;
 constexpr auto kSweepEvery = std::chrono::milliseconds(500);
+// A server may send more than was asked for right behind an answer. A connection rests for so long before the
+// next query, so that what comes then is never taken for that query's answer.
+constexpr Micros kRest = 2'000;
 constexpr std::size_t kReadSize = 8192;
 // A value of 64 KiB with what stands round it.
 constexpr std::size_t kLargestAnswer = std::size_t{80} << 10;
@@ -32,16 +35,16 @@
 }  // namespace
 
 struct ServerPool::Connection {
-  enum class State { kOpening, kIdle, kBusy, kClosed };
+  enum class State { kOpening, kResting, kIdle, kBusy, kClosed };
 
-  Connection(asio::io_context& io, ServerId to)
-      : socket(io), timer(io), server(to), reader(false, kLargestAnswer) {}
+  Connection(asio::io_context& io, ServerId id, const asio::ip::tcp::endpoint& at)
+      : socket(io), timer(io), server(id), address(at), reader(false, kLargestAnswer) {}
 
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
   ServerId server;
+  asio::ip::tcp::endpoint address;
   State state = State::kOpening;
-  bool outdated = false;  // the server has moved: no further query
   Micros idle_since = 0;
   pg::MessageReader reader;
   pg::AnswerReader answer;
@@ -70,8 +73,15 @@
     exchange_.Finished(clock_.Now(), job.ticket, Outcome{.status = Status::kConnectFailed});
     return;
   }
-  if (!site.idle.empty()) {
+  while (!site.idle.empty()) {
     const Link link = site.idle.back();
+    // Bytes that nothing called for: not one query more.
+    std::error_code error;
+    if (link->socket.available(error) > 0 || error) {
+      ++counters_.stray;
+      Close(link);
+      continue;
+    }
     site.idle.pop_back();
     Run(link, std::move(job));
     return;
@@ -84,7 +94,7 @@
 // One connection comes up for each that waits; whichever is free first is taken.
 void ServerPool::OpenAsNeeded(ServerId server) {
   Site& site = sites_[server];
-  while (site.opening.size() < site.waiting.size()) {
+  while (site.opening.size() + site.resting < site.waiting.size()) {
     if (connections_ >= options_.most_connections && !ShedIdle()) {
       ++counters_.no_room;
       const Ticket ticket = site.waiting.back().ticket;
@@ -99,7 +109,7 @@
 
 void ServerPool::Open(ServerId server) {
   Site& site = sites_[server];
-  const auto link = std::make_shared<Connection>(io_, server);
+  const auto link = std::make_shared<Connection>(io_, server, *site.endpoint);
   site.opening.push_back(link);
   ++connections_;
   ++counters_.opened;
@@ -107,7 +117,7 @@
   link->timer.async_wait([this, link](std::error_code error) {
     if (!error && link->state == Connection::State::kOpening) OpenFailed(link, Status::kConnectFailed);
   });
-  link->socket.async_connect(*site.endpoint, [this, link](std::error_code error) {
+  link->socket.async_connect(link->address, [this, link](std::error_code error) {
     if (link->state != Connection::State::kOpening) return;
     if (error) return OpenFailed(link, Status::kConnectFailed);
     link->socket.set_option(asio::ip::tcp::no_delay(true), error);
@@ -128,39 +138,70 @@
     try {
       OnBytes(link, size);
     } catch (const pg::ProtocolError&) {
-      ++counters_.garbage;
-      return OnBroken(link);
+      OnGarbage(link);
     }
     if (link->state != Connection::State::kClosed) Read(link);
   });
 }
 
 void ServerPool::OnBytes(const Link& link, std::size_t size) {
+  const bool asked = link->state == Connection::State::kOpening || link->state == Connection::State::kBusy;
+  if (!asked) return Retire(link);
   link->reader.Feed(std::string_view(link->in.data(), size));
-  while (const std::optional<pg::Message> message = link->reader.Next()) {
+  while (link->state != Connection::State::kClosed) {
+    const std::optional<pg::Message> message = link->reader.Next();
+    if (!message) return;
     switch (link->state) {
       case Connection::State::kOpening:
         OnStartup(link, message->type, message->body);
         break;
-      case Connection::State::kIdle:
-        if (message->type != 'S' && message->type != 'N')
-          throw pg::ProtocolError("a message that nothing called for");
-        break;
       case Connection::State::kBusy:
-        if (link->answer.Take(*message)) {
-          const Ticket ticket = link->ticket;
-          Outcome outcome = *link->answer.Settled();
-          busy_.erase(ticket);
-          OnReady(link);
-          exchange_.Finished(clock_.Now(), ticket, std::move(outcome));
-        }
+        if (link->answer.Take(*message)) OnAnswered(link);
         break;
+      case Connection::State::kResting:
+      case Connection::State::kIdle:
       case Connection::State::kClosed:
         return;
     }
   }
 }
 
+void ServerPool::OnAnswered(const Link& link) {
+  const Ticket ticket = link->ticket;
+  Outcome outcome = *link->answer.Settled();
+  busy_.erase(ticket);
+  link->state = Connection::State::kResting;
+  ++sites_[link->server].resting;
+  if (link->reader.buffered() > 0) {
+    Retire(link);
+  } else {
+    link->timer.expires_at(clock_.ToSteady(clock_.Now() + kRest));
+    link->timer.async_wait([this, link](std::error_code error) {
+      if (!error && link->state == Connection::State::kResting) OnReady(link);
+    });
+  }
+  exchange_.Finished(clock_.Now(), ticket, std::move(outcome));
+}
+
+// A spoilt answer may have run, as an error may. The server is no worse for it than for any other failure.
+void ServerPool::OnGarbage(const Link& link) {
+  ++counters_.garbage;
+  if (link->state != Connection::State::kBusy) return OnBroken(link);
+  const Ticket ticket = link->ticket;
+  Close(link);
+  exchange_.Finished(clock_.Now(), ticket, Outcome{.status = Status::kError});
+}
+
+void ServerPool::Retire(const Link& link) {
+  ++counters_.stray;
+  Drop(link);
+}
+
+void ServerPool::Drop(const Link& link) {
+  Close(link);
+  OpenAsNeeded(link->server);
+}
+
 void ServerPool::OnStartup(const Link& link, char type, std::string_view body) {
   switch (type) {
     case 'R':
@@ -169,7 +210,6 @@
     case 'E':
       return OpenFailed(link, pg::ParseError(body).code == "53300" ? Status::kFull : Status::kConnectFailed);
     case 'Z':
-      Remove(sites_[link->server].opening, link);
       link->timer.cancel();
       return OnReady(link);
     case 'S':
@@ -182,15 +222,19 @@
 }
 
 void ServerPool::OnReady(const Link& link) {
-  if (link->outdated) return Close(link);
   Site& site = sites_[link->server];
+  if (link->address != site.endpoint) return Drop(link);  // the server has moved
+  std::error_code error;
+  if (link->reader.buffered() > 0 || link->socket.available(error) > 0 || error) return Retire(link);
+  if (link->state == Connection::State::kOpening) Remove(site.opening, link);
+  if (link->state == Connection::State::kResting) --site.resting;
+  link->state = Connection::State::kIdle;
   if (!site.waiting.empty()) {
     Job job = std::move(site.waiting.front());
     site.waiting.pop_front();
     waiting_.erase(job.ticket);
     return Run(link, std::move(job));
   }
-  link->state = Connection::State::kIdle;
   link->idle_since = clock_.Now();
   if (link->written && link->out.capacity() > kReadSize) link->out = {};
   site.idle.push_back(link);
@@ -228,7 +272,7 @@
   std::optional<Outcome> outcome = busy ? link->answer.Settled() : std::nullopt;
   if (!outcome) outcome = Outcome{.status = link->written ? Status::kReset : Status::kConnectFailed};
   if (busy) ++counters_.broken;
-  Close(link);
+  Drop(link);
   if (busy) exchange_.Finished(clock_.Now(), ticket, std::move(*outcome));
 }
 
@@ -237,7 +281,7 @@
   const ServerId server = link->server;
   Close(link);
   Site& site = sites_[server];
-  while (site.waiting.size() > site.opening.size()) {
+  while (site.waiting.size() > site.opening.size() + site.resting) {
     const Ticket ticket = site.waiting.front().ticket;
     site.waiting.pop_front();
     waiting_.erase(ticket);
@@ -249,6 +293,7 @@
   if (link->state == Connection::State::kClosed) return;
   Site& site = sites_[link->server];
   if (link->state == Connection::State::kOpening) Remove(site.opening, link);
+  if (link->state == Connection::State::kResting) --site.resting;
   if (link->state == Connection::State::kIdle) Remove(site.idle, link);
   if (link->state == Connection::State::kBusy) busy_.erase(link->ticket);
   link->state = Connection::State::kClosed;
@@ -282,9 +327,6 @@
   }
   CloseIdle(server);
   for (const Link& link : std::vector<Link>(site.opening)) Close(link);
-  for (const auto& [ticket, link] : busy_) {
-    if (link->server == server) link->outdated = true;
-  }
   if (site.endpoint) return OpenAsNeeded(server);
   for (const Job& job : std::exchange(site.waiting, {})) {
     waiting_.erase(job.ticket);
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -25,7 +25,8 @@
 };
 
 struct PoolCounters {
-  std::uint64_t opened = 0, open_failed = 0, retired = 0, given_up = 0, broken = 0, garbage = 0, no_room = 0;
+  std::uint64_t opened = 0, open_failed = 0, retired = 0, given_up = 0, broken = 0, garbage = 0, stray = 0;
+  std::uint64_t no_room = 0;
 };
 
 class ServerPool {
@@ -59,6 +60,7 @@
     std::deque<Job> waiting;
     std::vector<Link> idle;  // the one used last stands last
     std::vector<Link> opening;
+    std::size_t resting = 0;  // answered a moment ago
   };
 
   void Place(ServerId server, Job job);
@@ -67,6 +69,12 @@
   void Read(const Link& link);
   void OnBytes(const Link& link, std::size_t size);
   void OnStartup(const Link& link, char type, std::string_view body);
+  void OnAnswered(const Link& link);
+  void OnGarbage(const Link& link);
+  // Closes a connection on which more came than was called for.
+  void Retire(const Link& link);
+  // Closes it and opens others for what waits.
+  void Drop(const Link& link);
   void OnReady(const Link& link);
   void Run(const Link& link, Job job);
   void OnBroken(const Link& link);
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -17,53 +17,62 @@
 bool AnswerReader::Take(const Message& message) {
   switch (message.type) {
     case 'T':
-      if (described_) throw ProtocolError("a second description in one answer");
+      if (described_ || ended()) throw ProtocolError("a description that does not begin an answer");
+      CheckSingleColumn(message.body);
       described_ = true;
       outcome_.served.shape = message.body;
       return false;
     case 'D':
-      if (!described_ || row_) throw ProtocolError("a row that was not announced");
+      if (!described_ || row_ || ended()) throw ProtocolError("a row that was not announced");
       row_ = true;
       outcome_.served.value = ParseSingleColumn(message.body);
       return false;
     case 'C':
+      if (ended()) throw ProtocolError("a second end in one answer");
+      if (message.body.find('\0') + 1 != message.body.size()) throw ProtocolError("a tag that does not end");
       complete_ = true;
       outcome_.served.tag = message.body;
       return false;
     case 'I':
+      if (ended()) throw ProtocolError("a second end in one answer");
       complete_ = true;
       return false;
     case 'E':
-      if (error_code_.empty()) error_code_ = ParseError(message.body).code;
-      if (error_code_.empty()) error_code_ = "XX000";
+      if (ended()) throw ProtocolError("a second end in one answer");
+      error_code_ = ParseError(message.body).code;
+      if (error_code_.empty()) throw ProtocolError("an error without a code");
       return false;
-    case 'S': {
-      const auto [name, value] = ParseParameterStatus(message.body);
-      if (name == "replication_role") {
-        outcome_.role = value == "primary"   ? Role::kPrimary
-                        : value == "standby" ? Role::kReplica
-                                             : Role::kUnknown;
-      } else if (name == "log_position") {
-        std::int64_t position = 0;
-        const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), position);
-        if (error == std::errc() && position > 0) outcome_.position_unix_ms = position;
-      } else if (name == "pressure") {
-        outcome_.report = ParseReport(std::string(value));
-      }
+    case 'S':
+      TakeStatus(message.body);
       return false;
-    }
     case 'N':
-    case 'K':
     case 'A':
       return false;
     case 'Z':
-      if (!Settled()) throw ProtocolError("ready again without an answer");
+      if (!ended()) throw ProtocolError("ready again without an answer");
+      if (message.body != "I") throw ProtocolError("a state that no single statement leaves");
       return true;
     default:
       throw ProtocolError("a message that no simple query calls for");
   }
 }
 
+void AnswerReader::TakeStatus(std::string_view body) {
+  const auto [name, value] = ParseParameterStatus(body);
+  if (name == "replication_role") {
+    outcome_.role = value == "primary"   ? Role::kPrimary
+                    : value == "standby" ? Role::kReplica
+                                         : Role::kUnknown;
+  } else if (name == "log_position") {
+    std::int64_t position = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), position);
+    const bool whole = error == std::errc() && end == value.data() + value.size();
+    if (whole && position > 0) outcome_.position_unix_ms = position;
+  } else if (name == "pressure") {
+    outcome_.report = ParseReport(std::string(value));
+  }
+}
+
 std::optional<Outcome> AnswerReader::Settled() const {
   Outcome outcome = outcome_;
   if (!error_code_.empty()) {
--- a/src/pg/answer.hpp
+++ b/src/pg/answer.hpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "src/exchange/outcome.hpp"
 #include "src/pg/wire.hpp"
@@ -18,6 +19,9 @@
   std::optional<Outcome> Settled() const;
 
  private:
+  bool ended() const { return complete_ || !error_code_.empty(); }
+  void TakeStatus(std::string_view body);
+
   Outcome outcome_;
   bool described_ = false, row_ = false, complete_ = false;
   std::string error_code_;
--- a/src/pg/wire.cpp
+++ b/src/pg/wire.cpp
@@ -10,6 +10,8 @@
 // Bytes already handed out are dropped once they are this many, so that a long stream is not moved each time.
 constexpr std::size_t kCompactAt = 4096;
 constexpr std::size_t kKeptCapacity = 16384;
+// What follows the name in a column's description: its table, number, type, size, modifier and format.
+constexpr std::size_t kColumnFields = 18;
 
 void AppendU32(std::string& out, std::size_t value) {
   for (int shift = 24; shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift & 0xff));
@@ -78,20 +80,32 @@
 
 ErrorFields ParseError(std::string_view body) {
   ErrorFields fields;
-  while (!body.empty() && body[0] != '\0') {
+  for (;;) {
+    if (body.empty()) throw ProtocolError("an error's fields do not end");
     const char field = body[0];
+    if (field == '\0') break;
     body.remove_prefix(1);
     const std::string_view text = TakeZeroEnded(body);
     if (field == 'C') fields.code = text;
     if (field == 'M') fields.message = text;
     if (field == 'S') fields.fatal = text == "FATAL" || text == "PANIC";
   }
+  if (body.size() != 1) throw ProtocolError("an error goes on behind its end");
   return fields;
 }
 
 std::pair<std::string_view, std::string_view> ParseParameterStatus(std::string_view body) {
-  const std::string_view name = TakeZeroEnded(body);
-  return {name, TakeZeroEnded(body)};
+  const std::string_view name = TakeZeroEnded(body), value = TakeZeroEnded(body);
+  if (!body.empty()) throw ProtocolError("a parameter goes on behind its end");
+  return {name, value};
+}
+
+void CheckSingleColumn(std::string_view body) {
+  if (body.size() < 2 || body[0] != 0 || body[1] != 1)
+    throw ProtocolError("not just one column is described");
+  body.remove_prefix(2);
+  TakeZeroEnded(body);
+  if (body.size() != kColumnFields) throw ProtocolError("a column's description does not fill its message");
 }
 
 std::string_view ParseSingleColumn(std::string_view body) {
--- a/src/pg/wire.hpp
+++ b/src/pg/wire.hpp
@@ -60,6 +60,8 @@
 };
 ErrorFields ParseError(std::string_view body);
 std::pair<std::string_view, std::string_view> ParseParameterStatus(std::string_view body);
+// Throws unless the body describes just one column, and nothing else stands in it.
+void CheckSingleColumn(std::string_view body);
 // The value of a row that has one column and is not null.
 std::string_view ParseSingleColumn(std::string_view body);
 // A query's text, without the zero byte that ends it.
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -124,9 +124,11 @@
   std::vector<std::string> queries_;
 };
 
+const std::string kShape("\0\1blob\0\0\0\0\0\0\0\0\0\0\21\xff\xff\xff\xff\xff\xff\0\1", 25);
+
 std::string Row(const std::string& value) {
   std::string out;
-  pg::AppendMessage(out, 'T', "described");
+  pg::AppendMessage(out, 'T', kShape);
   pg::AppendDataRow(out, value);
   pg::AppendMessage(out, 'C', std::string("SELECT 1\0", 9));
   pg::AppendParameterStatus(out, "replication_role", "standby");
@@ -204,7 +206,7 @@
   for (const char* id : {"1", "2"}) {
     const Messages m = client.UntilReady();
     ASSERT_EQ(m.size(), 4u);
-    EXPECT_EQ(m[0], (std::pair<char, std::string>{'T', "described"}));
+    EXPECT_EQ(m[0], (std::pair<char, std::string>{'T', kShape}));
     EXPECT_EQ(pg::ParseSingleColumn(m[1].second), std::string("for id=") + id);
   }
   EXPECT_EQ(client.UntilReady()[0].first, 'I');
@@ -274,6 +276,24 @@
   }
 }
 
+// Guards against what comes behind a good answer being taken for the next request's: that value is another's.
+TEST(Node, WhatFollowsAnAnswerIsNoAnswerToTheNextRequest) {
+  for (const std::string more : {"again", "S", "\xff\xff\xff\xff\xff noise"}) {
+    ScriptedServer server([&](const std::string& query) {
+      const std::string row = Row(query.substr(query.find("id="), 4));
+      return row + (more == "again" ? row : more);
+    });
+    Running node({server.port()});
+    Peer client = node.Session();
+    for (const std::string id : {"1", "2", "3"}) {
+      client.Write(Ask(id));
+      const Messages m = client.UntilReady();
+      ASSERT_EQ(m.size(), 4u);
+      EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "id=" + id);
+    }
+  }
+}
+
 // Guards against more clients than descriptors: idle ones go first, the busy ones are served.
 TEST(Node, IdleClientsMakeRoomForNewOnes) {
   ScriptedServer server([](const std::string&) { return Row("v"); });
--- a/tests/pg_test.cpp
+++ b/tests/pg_test.cpp
@@ -143,6 +143,8 @@
   EXPECT_EQ(HousekeepingOf("SETTLE"), Housekeeping::kNone);
 }
 
+constexpr std::string_view kShape("\0\1blob\0\0\0\0\0\0\0\0\0\0\21\xff\xff\xff\xff\xff\xff\0\1", 25);
+
 struct AnswerCase {
   const char* code;  // none: a row
   Status status;
@@ -157,10 +159,10 @@
     AppendError(error, "ERROR", GetParam().code, "");
     reader.Take({'E', std::string_view(error).substr(5)});
   } else {
-    reader.Take({'T', "shape"});
+    reader.Take({'T', kShape});
     reader.Take({'D', std::string_view("\0\1\0\0\0\2\0v", 8)});
     EXPECT_FALSE(reader.Settled());
-    reader.Take({'C', "SELECT 1"});
+    reader.Take({'C', std::string_view("SELECT 1\0", 9)});
   }
   reader.Take({'S', std::string_view("replication_role\0primary\0", 25)});
   reader.Take({'S', std::string_view("log_position\0"
@@ -188,15 +190,47 @@
   EXPECT_THROW(AnswerReader().Take({'G', ""}), ProtocolError);
   EXPECT_FALSE(AnswerReader().Settled());
   AnswerReader empty;
-  empty.Take({'C', "SELECT 0"});
+  empty.Take({'C', std::string_view("SELECT 0\0", 9)});
   EXPECT_EQ(empty.Settled()->status, Status::kError);
 }
 
+// Guards against a spoilt answer that passes for the value: each part is read to its end before it counts.
+TEST(Answer, WhatIsSpoiltIsNeverWhole) {
+  const std::string_view row("\0\1\0\0\0\1v", 7), tag("SELECT 1\0", 9);
+  const std::vector<Message> good = {{'T', kShape}, {'D', row}, {'C', tag}, {'Z', "I"}};
+  const auto refuses = [&](std::size_t at, Message spoilt) {
+    AnswerReader reader;
+    for (std::size_t i = 0; i < at; ++i) reader.Take(good[i]);
+    EXPECT_THROW(reader.Take(spoilt), ProtocolError) << at << spoilt.type << spoilt.body;
+  };
+  AnswerReader whole;
+  for (const Message& m : good) EXPECT_EQ(whole.Take(m), m.type == 'Z');
+  EXPECT_EQ(whole.Settled()->status, Status::kOk);
+  refuses(0, {'T', kShape.substr(0, 24)});
+  refuses(0, {'T', std::string_view("\0\2a\0", 4)});
+  refuses(0, {'E', std::string_view("SERROR\0C53300\0", 14)});
+  refuses(0, {'E', std::string_view("C53300\0\0x", 9)});
+  refuses(0, {'E', std::string_view("SERROR\0\0", 8)});
+  refuses(0, {'S', std::string_view("pressure\0x0=1", 13)});
+  refuses(1, {'D', row.substr(0, 6)});
+  refuses(1, {'D', std::string_view("\0\1\xff\xff\xff\xff", 6)});
+  refuses(2, {'D', row});
+  refuses(2, {'C', "SELECT 1"});
+  refuses(3, {'T', kShape});
+  refuses(3, {'D', row});
+  refuses(3, {'C', tag});
+  refuses(3, {'E', std::string_view("CXX000\0\0", 8)});
+  refuses(3, {'Z', "T"});
+}
+
 TEST(Report, NumbersByName) {
-  const auto report = ParseReport("x0=1767225600123.5,x1=1,bad,util=,y=0.5z,util=0.61");
+  const auto report = ParseReport("x0=1767225600123.5,x1=1,util=0.61");
   ASSERT_EQ(report.size(), 3u);
   EXPECT_EQ(report[0], (std::pair<std::string, double>{"x0", 1767225600123.5}));
   EXPECT_EQ(report[2], (std::pair<std::string, double>{"util", 0.61}));
+  for (const char* spoilt : {"bad", "x0=1,bad", "x0=1,util=", "x0=1,y=0.5z", "x0=1,x1=nan", "x0=1,,x1=1"}) {
+    EXPECT_TRUE(ParseReport(spoilt).empty()) << spoilt;
+  }
 }
 
 }  // namespace
