--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -22,6 +22,19 @@
 constexpr int kCrowdedRetryMs = 100;
 // A client that takes nothing of what is sent to it for so long is given up.
 constexpr Micros kStuck = 30'000'000;
+// A client that has asked nothing whole for so long since it connected is told so and let go.
+constexpr Micros kFirstRequestWithin = 2'000'000;
+// So may be one that holds its connection without a request; sooner, the more of the places are taken.
+constexpr Micros kIdleCrowded = 2'100'000;
+constexpr Micros kIdle = 10'000'000;
+// Statements in a row that cannot be used, after which a client is taken for one that will never do better.
+constexpr int kMostRefusals = 8;
+// Messages of one client handled in a turn, so that a long queue of them does not hold up the others.
+constexpr int kMessagesATurn = 16;
+// Bytes thrown away of a client that goes on sending after its last words; then its sending is held up.
+constexpr std::size_t kMostDiscarded = std::size_t{64} << 10;
+// Candidates looked at closely when a place is wanted.
+constexpr int kShedTries = 4;
 // Clients beyond the limit that are still being told so; any more are told and closed in one go.
 constexpr std::size_t kMostTurnedAway = 16;
 constexpr std::string_view kTooMany = "too many connections";
@@ -45,8 +58,14 @@
   bool started = false, reading = false, writing = false, skipping = false;
   bool ending = false;  // nothing more is read as messages: the last words are on their way
   bool finished = false, closed = false;
+  bool queued = false;    // the rest of its messages waits for the next turn
   RequestId request = 0;  // the one that is being answered; 0: none
-  Micros last_active = 0, ending_since = 0;
+  std::string open_id;    // what the client calls it
+  int refusals = 0;       // statements in a row that could not be used
+  bool asked = false;     // it has sent something whole since it started
+  std::size_t discarded = 0;
+  Micros connected = 0, last_active = 0, ending_since = 0;
+  Micros message_since = 0;  // when what is not whole yet began to come
   // Its parts of the sums over all clients.
   std::size_t counted = 0, carried = 0;
   std::string out, on_the_way;
@@ -117,7 +136,7 @@
     return;
   }
   const auto client = std::make_shared<Client>(std::move(socket));
-  client->last_active = clock_.Now();
+  client->connected = client->last_active = client->message_since = clock_.Now();
   clients_.insert(client);
   if (!room) {
     ++counters_.turned_away;
@@ -134,18 +153,36 @@
                                    client->reading = false;
                                    if (client->closed) return;
                                    if (error) return Close(client);
-                                   if (client->ending) return Read(client);  // only its close is awaited
+                                   if (client->ending) {
+                                     // Only its close is awaited; one that sends on is not read for ever.
+                                     client->discarded += size;
+                                     if (client->discarded < kMostDiscarded) Read(client);
+                                     return;
+                                   }
                                    client->last_active = clock_.Now();
+                                   if (client->reader.buffered() == 0) client->message_since = clock_.Now();
                                    client->reader.Feed(std::string_view(client->in.data(), size));
                                    Process(client);
                                  });
 }
 
 void ClientFront::Process(const ClientPtr& client) {
+  if (client->queued) return;
   try {
-    while (client->request == 0 && !client->ending && !client->closed && client->unsent() < kMostUnsent) {
+    for (int handled = 0;
+         client->request == 0 && !client->ending && !client->closed && client->unsent() < kMostUnsent;
+         ++handled) {
+      if (handled == kMessagesATurn) {
+        client->queued = true;
+        asio::post(io_, [this, client] {
+          client->queued = false;
+          if (!client->closed) Process(client);
+        });
+        break;
+      }
       const std::optional<pg::Message> message = client->reader.Next();
       if (!message) break;
+      client->message_since = clock_.Now();
       if (message->type == '\0' && !client->started) {
         OnStartup(client, message->body);
       } else {
@@ -197,6 +234,7 @@
 }
 
 void ClientFront::OnMessage(const ClientPtr& client, char type, std::string_view body) {
+  client->asked = true;
   switch (type) {
     case 'Q':
       client->skipping = false;
@@ -216,11 +254,6 @@
       if (!client->skipping) pg::AppendError(client->out, "ERROR", "0A000", "only simple queries are served");
       client->skipping = true;
       return;
-    case 'd':
-    case 'c':
-    case 'f':
-    case 'p':
-      return;
     case 'F':
       pg::AppendError(client->out, "ERROR", "0A000", "only simple queries are served");
       return pg::AppendReady(client->out);
@@ -249,19 +282,22 @@
   }
   const std::optional<pg::Statement> statement = pg::ParseStatement(text);
   const auto found = statement ? classes_.find(std::string(statement->class_name)) : classes_.end();
-  if (found == classes_.end()) {
+  const char* reason = WhyNot(statement ? &*statement : nullptr, found);
+  if (reason) {
     ++counters_.malformed;
-    const char* reason = statement ? "no class of requests has this name"
-                                   : "the statement lacks the comment that says what it is";
+    if (++client->refusals >= kMostRefusals) return EndWith(client, "08P01", reason);
     pg::AppendError(client->out, "ERROR", "42601", reason);
     return pg::AppendReady(client->out);
   }
+  client->refusals = 0;
   if (carried_ + text.size() > options_.most_buffered) {
     ++counters_.turned_away;
     pg::AppendError(client->out, "ERROR", "53300", "too much is under way", std::to_string(kCrowdedRetryMs));
     return pg::AppendReady(client->out);
   }
   const Freshness freshness = exchange_.settings().classes[static_cast<std::size_t>(found->second)].freshness;
+  client->open_id = statement->id;
+  open_ids_.insert(client->open_id);
   const auto tenant = tenants_.find(std::string(statement->tenant));
   ClientRequest request;
   request.class_index = found->second;
@@ -279,13 +315,26 @@
   asking_[client->request] = client;
 }
 
+// Why a statement is not taken as a request; null: it is.
+const char* ClientFront::WhyNot(const pg::Statement* statement,
+                                const ClassNames::const_iterator& found) const {
+  if (!statement)
+    return "the statement has no form that is served here, or lacks the comment that says what it is";
+  if (found == classes_.end()) return "no class of requests has this name";
+  const ClassSettings& c = exchange_.settings().classes[static_cast<std::size_t>(found->second)];
+  if (statement->writes != (c.freshness == Freshness::kWrite)) return "the class does not fit the statement";
+  if (c.effect == Effect::kKeyed && statement->repeat_key.empty()) return "the class wants a key for repeats";
+  // The request that has this id is another's: it goes on untouched.
+  if (open_ids_.contains(std::string(statement->id))) return "a request with this id is still open";
+  return nullptr;
+}
+
 void ClientFront::Deliver(RequestId id, const Answer& answer) {
   const auto it = asking_.find(id);
   if (it == asking_.end()) return;
   const ClientPtr client = it->second;
   asking_.erase(it);
-  client->request = 0;
-  carried_ -= std::exchange(client->carried, 0);
+  EndRequest(client);
   client->last_active = clock_.Now();
   if (const auto* served = std::get_if<Served>(&answer)) {
     pg::AppendMessage(client->out, 'T', served->value.shape);
@@ -302,6 +351,13 @@
   Process(client);
 }
 
+void ClientFront::EndRequest(const ClientPtr& client) {
+  client->request = 0;
+  client->message_since = clock_.Now();
+  open_ids_.erase(std::exchange(client->open_id, {}));
+  carried_ -= std::exchange(client->carried, 0);
+}
+
 void ClientFront::Write(const ClientPtr& client) {
   if (client->writing || client->closed) return;
   if (client->out.empty()) {
@@ -327,6 +383,7 @@
   if (client->ending || client->closed) return;
   client->ending = true;
   client->ending_since = clock_.Now();
+  client->reader = pg::MessageReader(false);  // what it has sent is not kept while it takes its leave
   pg::AppendError(client->out, "FATAL", code, message);
   Write(client);
 }
@@ -348,26 +405,35 @@
   std::error_code ignored;
   client->socket.close(ignored);
   buffered_ -= std::exchange(client->counted, 0);
-  carried_ -= std::exchange(client->carried, 0);
-  if (client->request != 0) {
-    asking_.erase(client->request);
-    exchange_.ClientLeft(clock_.Now(), std::exchange(client->request, 0));
+  if (const RequestId request = client->request; request != 0) {
+    asking_.erase(request);
+    EndRequest(client);
+    exchange_.ClientLeft(clock_.Now(), request);
   }
   clients_.erase(ClientPtr(client));
 }
 
+// Those that never asked anything go first, then whoever has been idle longest.
 bool ClientFront::ShedIdle() {
-  ClientPtr oldest;
+  const auto before = [](const ClientPtr& a, const ClientPtr& b) {
+    return std::pair(a->asked, a->last_active) < std::pair(b->asked, b->last_active);
+  };
+  std::vector<ClientPtr> oldest;
   for (const ClientPtr& client : clients_) {
-    if (client->request != 0 || client->writing || client->reader.buffered() > 0) continue;
-    if (oldest && client->last_active >= oldest->last_active) continue;
+    if (client->request != 0 || client->writing || client->ending || client->reader.buffered() > 0) continue;
+    if (oldest.size() == kShedTries && !before(client, oldest.back())) continue;
+    oldest.insert(std::upper_bound(oldest.begin(), oldest.end(), client, before), client);
+    if (oldest.size() > kShedTries) oldest.pop_back();
+  }
+  for (const ClientPtr& client : oldest) {
+    // What has arrived and was not read yet is a request like any other.
     std::error_code error;
-    if (client->socket.available(error) == 0) oldest = client;
+    if (client->socket.available(error) > 0) continue;
+    ++counters_.shed;
+    Close(client);
+    return true;
   }
-  if (!oldest) return false;
-  ++counters_.shed;
-  Close(oldest);
-  return true;
+  return false;
 }
 
 void ClientFront::Drain() {
@@ -400,12 +466,29 @@
 }
 
 void ClientFront::Sweep() {
+  const Micros patience = 3 * clients_.size() > options_.most_clients ? kIdleCrowded : kIdle;
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) {
-    const bool lingers = client->ending && clock_.Now() - client->ending_since > kLinger;
-    const bool silent = draining_ && !client->started && clock_.Now() - client->last_active > kLinger;
-    const bool stuck = client->writing && clock_.Now() - client->last_active > kStuck;
-    if (lingers || silent || stuck) Close(client);
+    const Micros now = clock_.Now();
+    const bool lingers = client->ending && now - client->ending_since > kLinger;
+    const bool stuck = client->writing && now - client->last_active > kStuck;
+    if (lingers || stuck) {
+      Close(client);
+      continue;
+    }
+    if (client->ending || client->request != 0 || client->queued || client->writing) continue;
+    // Silence, or half a message: whoever means to ask has done so by now.
+    const bool partial = client->reader.buffered() > 0;
+    const Micros since = client->asked ? client->message_since : client->connected;
+    if ((!client->asked || partial) && now - since > kFirstRequestWithin) {
+      ++counters_.silent;
+      EndWith(client, "08P01", "no whole message came in time");
+      continue;
+    }
+    std::error_code ignored;
+    if (partial || now - client->last_active <= patience || client->socket.available(ignored) > 0) continue;
+    ++counters_.idle;
+    Finish(client);
   }
 }
 
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -25,7 +25,8 @@
 };
 
 struct FrontCounters {
-  std::uint64_t accepted = 0, turned_away = 0, shed = 0, malformed = 0, accept_errors = 0;
+  std::uint64_t accepted = 0, turned_away = 0, shed = 0, idle = 0, silent = 0;
+  std::uint64_t malformed = 0, accept_errors = 0;
 };
 
 class ClientFront {
@@ -47,6 +48,7 @@
  private:
   struct Client;
   using ClientPtr = std::shared_ptr<Client>;
+  using ClassNames = std::unordered_map<std::string, int>;
 
   void Accept();
   void Admit(asio::ip::tcp::socket socket);
@@ -55,6 +57,8 @@
   void OnStartup(const ClientPtr& client, std::string_view body);
   void OnMessage(const ClientPtr& client, char type, std::string_view body);
   void OnQuery(const ClientPtr& client, std::string_view text);
+  const char* WhyNot(const pg::Statement* statement, const ClassNames::const_iterator& found) const;
+  void EndRequest(const ClientPtr& client);
   void Write(const ClientPtr& client);
   // Says why, then ends the connection without losing what was said.
   void EndWith(const ClientPtr& client, std::string_view code, std::string_view message);
@@ -72,7 +76,8 @@
   asio::steady_timer accept_pause_, sweep_;
   std::unordered_set<ClientPtr> clients_;
   std::unordered_map<RequestId, ClientPtr> asking_;
-  std::unordered_map<std::string, int> classes_, tenants_;
+  std::unordered_set<std::string> open_ids_;
+  ClassNames classes_, tenants_;
   std::size_t buffered_ = 0, carried_ = 0;  // bytes not read as messages yet; statements under way
   bool draining_ = false;
 };
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -176,8 +176,8 @@
   const DiscoveryCounters& d = discovery_.counters();
   LogLine("requests: " + ToText(exchange_.counters()));
   LogLine("clients:" + text("open", front_.clients()) + text("accepted", f.accepted) +
-          text("turned_away", f.turned_away) + text("shed", f.shed) + text("malformed", f.malformed) +
-          text("accept_errors", f.accept_errors));
+          text("turned_away", f.turned_away) + text("shed", f.shed) + text("idle", f.idle) +
+          text("silent", f.silent) + text("malformed", f.malformed) + text("accept_errors", f.accept_errors));
   LogLine("servers:" + text("open", pool_.connections()) + text("opened", p.opened) +
           text("open_failed", p.open_failed) + text("retired", p.retired) + text("given_up", p.given_up) +
           text("broken", p.broken) + text("garbage", p.garbage) + text("stray", p.stray) +
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <initializer_list>
 #include <string>
 
 namespace tulipyoke::pg {
@@ -23,6 +24,44 @@
   return error == std::errc() && end == text.data() + text.size();
 }
 
+// Takes the next word in any case, with the blanks before it; false where something else stands there.
+bool TakeWord(std::string_view& sql, std::string_view word) {
+  const std::size_t from = std::min(sql.find_first_not_of(kBlank), sql.size());
+  const std::string_view found = sql.substr(from, word.size());
+  const auto same = [](char a, char b) { return a == b || (a >= 'a' && a <= 'z' && a - 'a' + 'A' == b); };
+  if (!std::equal(found.begin(), found.end(), word.begin(), word.end(), same)) return false;
+  sql.remove_prefix(from + word.size());
+  return true;
+}
+bool TakeWords(std::string_view& sql, std::initializer_list<std::string_view> words) {
+  return std::all_of(words.begin(), words.end(), [&](std::string_view word) { return TakeWord(sql, word); });
+}
+bool TakeQuoted(std::string_view& sql, std::string_view& value) {
+  if (!TakeWord(sql, "'")) return false;
+  const std::size_t end = sql.find('\'');
+  if (end == std::string_view::npos) return false;
+  value = sql.substr(0, end);
+  sql.remove_prefix(end + 1);
+  return true;
+}
+bool IsBytes(std::string_view value) {
+  return value.starts_with("\\x") && value.size() % 2 == 0 &&
+         value.find_first_not_of("0123456789abcdefABCDEF", 2) == std::string_view::npos;
+}
+// The two forms that clients send.
+bool ParseSql(std::string_view sql, Statement& result) {
+  result.writes = !TakeWords(sql, {"SELECT "});
+  std::string_view value = "\\x";
+  const bool known =
+      result.writes
+          ? TakeWords(sql, {"INSERT ", "INTO ", "ROWS", "(", "HANDLE", ",", "BLOB", ")", "VALUES"}) &&
+                TakeWords(sql, {"("}) && TakeQuoted(sql, result.key) && TakeWords(sql, {","}) &&
+                TakeQuoted(sql, value) && TakeWords(sql, {")", "RETURNING ", "BLOB"})
+          : TakeWords(sql, {"BLOB ", "FROM ", "ROWS ", "WHERE ", "HANDLE", "="}) &&
+                TakeQuoted(sql, result.key);
+  return known && !result.key.empty() && IsBytes(value) && Trim(sql).empty();
+}
+
 }  // namespace
 
 std::optional<Statement> ParseStatement(std::string_view text) {
@@ -31,38 +70,44 @@
   const std::size_t open = trimmed.rfind("/*");
   if (open == std::string_view::npos || open + 4 > trimmed.size()) return std::nullopt;
   std::string_view comment = trimmed.substr(open + 2, trimmed.size() - open - 4);
+  const auto unreadable = [](char c) { return static_cast<unsigned char>(c) < ' '; };
+  if (std::any_of(comment.begin(), comment.end(), unreadable)) return std::nullopt;
 
   Statement result;
-  bool has_id = false, has_wait = false;
+  std::string_view wait, cluster, after, again;
   while (!comment.empty()) {
     const std::size_t comma = comment.find(',');
     const std::string_view pair = Trim(comment.substr(0, comma));
     comment.remove_prefix(comma == std::string_view::npos ? comment.size() : comma + 1);
-    const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) continue;
-    const std::string_view name = pair.substr(0, equals), value = pair.substr(equals + 1);
-    if (name == "id") has_id = !value.empty();
-    if (name == "c") result.class_name = value;
-    if (name == "t") result.tenant = value;
-    if (name == "r") result.repeat = value == "1";
-    if (name == "cluster" && (!ParseWhole(value, result.cluster) || result.cluster < 0)) return std::nullopt;
-    if (name == "after") {
-      std::int64_t after = 0;
-      if (!ParseWhole(value, after) || after < 0 || after > kLongestWaitMs * 365 * 1000) return std::nullopt;
-      result.after_ms = after;
-    }
-    if (name == "d") {
-      has_wait = ParseWhole(value, result.wait_ms) && result.wait_ms >= 0 && result.wait_ms <= kLongestWaitMs;
-      result.wait_at = static_cast<std::size_t>(value.data() - text.data());
-      result.wait_size = value.size();
-    }
+    const std::size_t equals = std::min(pair.find('='), pair.size());
+    const std::string_view name = pair.substr(0, equals);
+    std::string_view* field = name == "id"        ? &result.id
+                              : name == "c"       ? &result.class_name
+                              : name == "t"       ? &result.tenant
+                              : name == "d"       ? &wait
+                              : name == "k"       ? &result.repeat_key
+                              : name == "r"       ? &again
+                              : name == "cluster" ? &cluster
+                              : name == "after"   ? &after
+                                                  : nullptr;
+    if (!field) continue;
+    // Said twice, it could be read one way here and another way by a server.
+    if (!field->empty() || equals == pair.size()) return std::nullopt;
+    *field = pair.substr(equals + 1);
   }
-  if (!has_id || !has_wait || result.class_name.empty()) return std::nullopt;
-
-  const std::string_view sql = trimmed.substr(0, open);
-  const std::size_t quote = sql.find('\'');
-  const std::size_t end = quote == std::string_view::npos ? quote : sql.find('\'', quote + 1);
-  if (end != std::string_view::npos) result.key = sql.substr(quote + 1, end - quote - 1);
+  if (result.id.empty() || result.class_name.empty()) return std::nullopt;
+  if (!ParseWhole(wait, result.wait_ms) || result.wait_ms < 0 || result.wait_ms > kLongestWaitMs)
+    return std::nullopt;
+  result.wait_at = static_cast<std::size_t>(wait.data() - text.data());
+  result.wait_size = wait.size();
+  if (!cluster.empty() && (!ParseWhole(cluster, result.cluster) || result.cluster < 0)) return std::nullopt;
+  if (!after.empty()) {
+    std::int64_t ms = 0;
+    if (!ParseWhole(after, ms) || ms < 0 || ms > kLongestWaitMs * 365 * 1000) return std::nullopt;
+    result.after_ms = ms;
+  }
+  result.repeat = again == "1";
+  if (!ParseSql(trimmed.substr(0, open), result)) return std::nullopt;
   return result;
 }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -253,6 +253,53 @@
   EXPECT_EQ(good.UntilReady()[0].first, 'T');
 }
 
+// Guards against a client that says nothing, or half of something, holding its place for good.
+TEST(Node, WhoSaysNothingWholeIsToldAndLetGo) {
+  ScriptedServer server([](const std::string&) { return Row("v"); });
+  Running node({server.port()});
+  Peer silent = node.Connect();
+  Peer half = node.Session();
+  half.Write(Ask("1").substr(0, 40));
+  Peer mute = node.Session();
+  Peer usual = node.Session();
+  usual.Write(Ask("2"));
+  EXPECT_EQ(usual.UntilReady()[0].first, 'T');
+  for (Peer* peer : {&silent, &half, &mute}) {
+    EXPECT_EQ(CodeOf(peer->UntilReady()), "08P01");
+    EXPECT_EQ(peer->Next().first, '\0');
+  }
+  usual.Write(Ask("3"));
+  EXPECT_EQ(usual.UntilReady()[0].first, 'T');
+}
+
+// Guards against a client that asks in another's name harming that one, and one that never learns.
+TEST(Node, AnothersOpenIdIsRefusedAndNonsenseWithoutEndEndsTheConnection) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string&) {
+    const std::lock_guard wait(gate);
+    return Row("v");
+  });
+  Running node({server.port()});
+  Peer owner = node.Session();
+  owner.Write(Ask("1"));
+  while (server.queries().empty()) std::this_thread::yield();
+  Peer thief = node.Session();
+  thief.Write(Ask("1"));
+  EXPECT_EQ(CodeOf(thief.UntilReady()), "42601");
+  gate.unlock();
+  EXPECT_EQ(owner.UntilReady()[0].first, 'T');
+  owner.Write(Ask("1"));  // over by then: its own again
+  EXPECT_EQ(owner.UntilReady()[0].first, 'T');
+  std::string nonsense;
+  for (int i = 0; i < 300; ++i) nonsense += Query("SELECT 1");
+  thief.Write(nonsense);
+  int refused = 0;
+  for (auto message = thief.Next(); message.first != '\0'; message = thief.Next())
+    refused += message.first == 'E';
+  EXPECT_EQ(refused, 7);  // and the one before
+}
+
 // Guards against garbage or a break from a server reaching the client: another server's value does.
 TEST(Node, GarbageAndBreaksEndTheAttemptAndAnotherServerServes) {
   for (const char* nonsense : {"", "\xff\xff\xff\xff\xff garbage"}) {
--- a/tests/pg_test.cpp
+++ b/tests/pg_test.cpp
@@ -115,15 +115,45 @@
       "*/ ; ");
   ASSERT_TRUE(insert);
   EXPECT_EQ(insert->key, "k1");
+  EXPECT_EQ(insert->repeat_key, "5c0f");
   EXPECT_TRUE(insert->repeat);
 }
 
 // Guards against passing on a statement in a form that no client sends.
 TEST(Statement, WhatLacksAFieldIsNoRequest) {
-  for (const char* text :
-       {"", "SELECT 1", "/* */", "/*/", "*/", "SELECT 1 /* id=1,c=a */", "S /* c=a,d=5 */",
-        "S /* id=1,d=5 */", "S /* id=1,c=a,d=-5 */", "S /* id=1,c=a,d=99999999999999999999 */",
-        "S /* id=1,c=a,d=5x */", "S /* id=1,c=a,d=5,cluster=x */", "S /* id=1,c=a,d=5 */ x"}) {
+  const std::string select = "SELECT blob FROM rows WHERE handle = 'h' ";
+  const std::string insert = "INSERT INTO rows (handle, blob) VALUES ('h', '\\x00') RETURNING blob ";
+  const std::string facts = "/* id=1,c=a,d=5 */";
+  EXPECT_TRUE(ParseStatement(select + facts));
+  EXPECT_FALSE(ParseStatement(select + facts)->writes);
+  EXPECT_TRUE(ParseStatement(insert + facts)->writes);
+  for (const std::string& text :
+       {std::string(),
+        std::string("SELECT 1"),
+        std::string("/* */"),
+        std::string("/*/"),
+        std::string("*/"),
+        select,
+        facts,
+        "S " + facts,
+        "DROP TABLE rows " + facts,
+        select + "; DROP TABLE rows " + facts,
+        "SELECT blob FROM rows WHERE handle = 'h " + facts,
+        "SELECT blob FROM rows WHERE handle = '' " + facts,
+        "INSERT INTO rows (handle, blob) VALUES ('h', 'zz') RETURNING blob " + facts,
+        "INSERT INTO rows (handle, blob) VALUES ('h', '\\x0') RETURNING blob " + facts,
+        select + "/* id=1,c=a */",
+        select + "/* c=a,d=5 */",
+        select + "/* id=,c=a,d=5 */",
+        select + "/* id=1,d=5 */",
+        select + "/* id=1,c=a,d=-5 */",
+        select + "/* id=1,c=a,d= */",
+        select + "/* id=1,c=a,d=99999999999999999999 */",
+        select + "/* id=1,c=a,d=5x */",
+        select + "/* id=1,c=a,d=5,cluster=x */",
+        select + "/* id=1,id=2,c=a,d=5 */",
+        select + "/* id=1\x01,c=a,d=5 */",
+        select + "/* id=1,c=a,d=5 */ x"}) {
     EXPECT_FALSE(ParseStatement(text)) << text;
   }
   for (unsigned seed = 0; seed < 2000; ++seed) {
