Forget servers that left, answer all before a forced end, and size cold budgets from the first second

A stop waited 5.6 s for the 5 s deadline, though the end by force may come at 3.7 s (src/net/node.cpp). ColdAllows counted the primary's few writes as a warm server's traffic, summed work over 18 s as if the router had watched that long, and had no estimate left when no warm member was. Changed: ForgetServer from the list down to the pool, unknown groups refused, PlanStop and EndBy, LearnWarmRate (replicas only, corrected for the time watched, kept while none is warm), kColdMargin 0.8 -> 1.6 (falls at 3).

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
 
 namespace tulipyoke {
 namespace {
@@ -55,7 +57,7 @@
 
 RequestId Exchange::Submit(Micros now, const ClientRequest& request) {
   const RequestId id = next_request_++;
-  const Micros deadline = now + std::max<Micros>(request.wait, 0);
+  const Micros deadline = std::max(now, std::min(now + request.wait, end_by_));
   requests_[id] = {request.class_index, 0, deadline, request.payload, kNoLimit};
   ++counters_.taken;
   // Should the module ever leave a request unanswered, the client still gets its answer inside the slack.
@@ -66,7 +68,7 @@
   event.tenant = request.tenant;
   event.group = request.group;
   event.key = request.key;
-  event.remaining = std::max<Micros>(request.wait, 0);
+  event.remaining = deadline - now;
   event.repeat = request.repeat;
   if (request.after_unix_ms) {
     event.wrote_ms_ago =
@@ -91,6 +93,13 @@
   Pass(now, NewsOf(listing, listing.complete ? ListKind::kFull : ListKind::kDelta));
 }
 
+void Exchange::EndBy(Micros when) {
+  end_by_ = when;
+  for (const auto& [id, request] : requests_) {
+    if (request.deadline > when) Schedule(when, DueKind::kOverdue, id);
+  }
+}
+
 void Exchange::Tick(Micros now) {
   while (!due_.empty() && due_.top().when <= now) {
     const Due due = due_.top();
@@ -102,7 +111,7 @@
       commands_.push_back(EndTicket{due.id});
       EndOut(now, due.id, Outcome{.status = Status::kTimeout});
     } else if (requests_.contains(due.id)) {
-      ++counters_.overdue;
+      counters_.overdue += now > requests_.at(due.id).deadline ? 1 : 0;
       Give(due.id, Failed{});
       Pass(now, RequestGone{due.id});
     }
@@ -204,11 +213,19 @@
 
 ListNews Exchange::NewsOf(const Listing& listing, ListKind kind) {
   ListNews news{kind, listing.version, {}};
+  if (listing.complete) {
+    std::set<std::string_view> named;
+    for (const ListedServer& listed : listing.servers) named.insert(listed.id);
+    Forget([&](const std::string& id) { return !named.contains(id); });
+  }
   for (const ListedServer& listed : listing.servers) {
-    const ServerId id =
-        servers_.try_emplace(listed.id, static_cast<ServerId>(servers_.size() + 1)).first->second;
-    if (!listed.address.empty() && addresses_[id] != listed.address) {
-      addresses_[id] = listed.address;
+    const auto found = servers_.find(listed.id);
+    if (found == servers_.end() && listed.state == ServerState::kGone) continue;
+    Known& known = found == servers_.end() ? servers_[listed.id] : found->second;
+    if (known.server == 0) known.server = next_server_++;
+    const ServerId id = known.server;
+    if (!listed.address.empty() && known.address != listed.address) {
+      known.address = listed.address;
       commands_.push_back(SetAddress{id, listed.address});
     }
     ListEntry entry;
@@ -221,10 +238,21 @@
     entry.boot_time = listed.started_unix_ms * 1000;
     entry.leads = listed.leads;
     news.entries.push_back(entry);
+    if (listed.state == ServerState::kGone)
+      Forget([&](const std::string& gone) { return gone == listed.id; });
   }
   return news;
 }
 
+template <typename Gone>
+void Exchange::Forget(const Gone& gone) {
+  std::erase_if(servers_, [&](const auto& entry) {
+    if (!gone(entry.first)) return false;
+    commands_.push_back(ForgetServer{entry.second.server});
+    return true;
+  });
+}
+
 void Exchange::Do(Micros now, const Send& action) {
   const auto it = requests_.find(action.id);
   const bool too_many = it != requests_.end() && options_.settings.max_attempts > 0 &&
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -75,6 +75,9 @@
   ServerId server = 0;
   std::string address;
 };
+struct ForgetServer {  // it has left the list: nothing more is started there
+  ServerId server = 0;
+};
 struct CloseIdleConnections {
   ServerId server = 0;
 };
@@ -86,8 +89,8 @@
 struct WriteLog {
   std::string text;
 };
-using Command = std::variant<StartAttempt, StartProbe, EndTicket, SetAddress, CloseIdleConnections,
-                             AnswerRequest, RefreshList, WriteLog>;
+using Command = std::variant<StartAttempt, StartProbe, EndTicket, SetAddress, ForgetServer,
+                             CloseIdleConnections, AnswerRequest, RefreshList, WriteLog>;
 
 inline constexpr std::size_t kStatuses = 9;
 
@@ -117,6 +120,8 @@
   // A ticket that is no longer out is passed over.
   void Finished(Micros now, Ticket ticket, Outcome outcome);
   void Heard(Micros now, const Listing& listing);
+  // Every request, also one that is taken later, has its final answer by then.
+  void EndBy(Micros when);
   // Runs what has come due.
   void Tick(Micros now);
   std::optional<Micros> NextDue() const;
@@ -156,6 +161,8 @@
   Micros StartBy(RequestId id, const Request& request) const;
   std::optional<std::int64_t> PositionMs(const Outcome& outcome, bool commit) const;
   Report ReportOf(const Outcome& outcome) const;
+  template <typename Gone>
+  void Forget(const Gone& gone);
   ListNews NewsOf(const Listing& listing, ListKind kind);
 
   void Do(Micros now, const Send& action);
@@ -178,13 +185,19 @@
   bool passing_ = false;
   RequestId next_request_ = 1;
   Ticket next_ticket_ = 1;
+  Micros end_by_ = kNoLimit;
   std::uint64_t next_sequence_ = 0;
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<Ticket, Out> out_;
   std::map<std::pair<RequestId, int>, Ticket> attempts_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
-  std::map<std::string, ServerId> servers_;
-  std::map<ServerId, std::string> addresses_;
+  // By the id in lists. Ids are never used again once a server has left the list.
+  struct Known {
+    ServerId server = 0;
+    std::string address;
+  };
+  std::map<std::string, Known> servers_;
+  ServerId next_server_ = 1;
 };
 
 }  // namespace tulipyoke
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -204,8 +204,7 @@
   }
   Write(client);
   if (client->closed) return;
-  if (draining_ && client->request == 0 && !client->ending && client->started &&
-      client->reader.buffered() == 0) {
+  if (draining_ && client->request == 0 && !client->ending && client->reader.buffered() == 0) {
     return Finish(client);
   }
   const bool held_up = client->unsent() >= kMostUnsent || crowded || client->reader.buffered() >= kReadAhead;
@@ -450,7 +449,7 @@
   acceptor_.close(ignored);
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) {
-    if (client->closed || client->ending || client->request != 0 || !client->started) continue;
+    if (client->closed || client->ending || client->request != 0) continue;
     // What has arrived and was not read yet is a request like any other.
     if (client->socket.available(ignored) == 0 && client->reader.buffered() == 0) Finish(client);
   }
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -25,9 +25,12 @@
 constexpr int kHandlersATurn = 64;
 // After SIGTERM clients go on coming for up to 0.4 s: they are served until then as ever.
 constexpr Micros kStopWindow = 500'000;
-// The end comes by force at the earliest 0.7 s after the longest deadline, which counts as 3 s at least.
-constexpr Micros kLeastLongestDeadline = 3'000'000;
-constexpr Micros kStopMargin = 600'000;
+// The end comes by force at the earliest this long after SIGTERM and the longest deadline, which counts as 3
+// s at most. All is answered a good while before.
+constexpr Micros kForceAfter = 700'000;
+constexpr Micros kLongestCounted = 3'000'000;
+constexpr Micros kAnswerMargin = 300'000;
+constexpr Micros kExitMargin = 150'000;
 // Positions count from shortly before the start where the configuration's origin is not near the present:
 // counted on another clock, it says nothing of Unix time.
 constexpr Micros kOriginBeforeStart = 600'000'000;
@@ -76,7 +79,8 @@
       front_(io_, clock_, exchange_, FrontOptionsOf(config)),
       discovery_(io_, clock_, exchange_, config.discovery, config.known.version),
       due_timer_(io_),
-      stop_timer_(io_) {
+      stop_timer_(io_),
+      stop_plan_(PlanStop(config.settings)) {
   signals_.add(SIGUSR1);
   exchange_.Start(clock_.Now(), config.known);
   AwaitSignal();
@@ -113,14 +117,12 @@
   }
   if (!stop_asked_) return;
   const Micros since = clock_.Now() - *stop_asked_;
-  Micros longest = kLeastLongestDeadline;
-  for (const ClassSettings& c : config_.settings.classes) longest = std::max(longest, c.deadline);
   if (since >= kStopWindow && !draining_) {
     draining_ = true;
     front_.Drain();
     LogLine("draining: " + std::to_string(exchange_.live()) + " requests are still out");
   }
-  done_ = (draining_ && front_.clients() == 0) || since >= longest + kStopMargin;
+  done_ = (draining_ && front_.clients() == 0) || since >= stop_plan_.exit_by;
   if (!done_) {
     stop_timer_.expires_after(std::chrono::milliseconds(10));
     stop_timer_.async_wait([](std::error_code) {});
@@ -134,6 +136,7 @@
   if (const auto* address = std::get_if<SetAddress>(&command)) {
     return pool_.SetAddress(address->server, address->address);
   }
+  if (const auto* forget = std::get_if<ForgetServer>(&command)) return pool_.Forget(forget->server);
   if (const auto* idle = std::get_if<CloseIdleConnections>(&command)) return pool_.CloseIdle(idle->server);
   if (const auto* answer = std::get_if<AnswerRequest>(&command))
     return front_.Deliver(answer->id, answer->answer);
@@ -149,13 +152,25 @@
     } else if (signal == SIGHUP) {
       Reload();
     } else if (!stop_asked_) {
-      stop_asked_ = clock_.Now();
-      LogLine("told to stop");
+      Stop();
     }
     AwaitSignal();
   });
 }
 
+StopPlan PlanStop(const Settings& settings) {
+  Micros deadline = 0;
+  for (const ClassSettings& c : settings.classes) deadline = std::max(deadline, c.deadline);
+  const Micros force = std::min(deadline, kLongestCounted) + kForceAfter;
+  return {force - kAnswerMargin, force - kExitMargin};
+}
+
+void Node::Stop() {
+  stop_asked_ = clock_.Now();
+  exchange_.EndBy(*stop_asked_ + stop_plan_.answer_by);
+  LogLine("told to stop");
+}
+
 // Of a new configuration only the address of discovery is taken over: all else was built into what runs.
 void Node::Reload() {
   try {
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -15,6 +15,12 @@
 
 namespace tulipyoke::net {
 
+// What a planned stop leaves time for, counted from the signal.
+struct StopPlan {
+  Micros answer_by = 0, exit_by = 0;
+};
+StopPlan PlanStop(const Settings& settings);
+
 class Node {
  public:
   explicit Node(const Config& config);
@@ -28,6 +34,7 @@
   void Carry(const Command& command);
   void AwaitSignal();
   void Reload();
+  void Stop();
   void PrintCounters() const;
 
   Config config_;
@@ -42,6 +49,7 @@
   asio::steady_timer due_timer_, stop_timer_;
   std::optional<Micros> armed_for_;
   std::optional<Micros> stop_asked_;
+  StopPlan stop_plan_;
   bool draining_ = false, done_ = false;
 };
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -328,6 +328,18 @@
   CloseIdle(server);
   for (const Link& link : std::vector<Link>(site.opening)) Close(link);
   if (site.endpoint) return OpenAsNeeded(server);
+  FailWaiting(site);
+}
+
+void ServerPool::Forget(ServerId server) {
+  Site& site = sites_[server];
+  site.endpoint.reset();
+  CloseIdle(server);
+  for (const Link& link : std::vector<Link>(site.opening)) Close(link);
+  FailWaiting(site);
+}
+
+void ServerPool::FailWaiting(Site& site) {
   for (const Job& job : std::exchange(site.waiting, {})) {
     waiting_.erase(job.ticket);
     exchange_.Finished(clock_.Now(), job.ticket, Outcome{.status = Status::kConnectFailed});
@@ -369,6 +381,12 @@
       Close(Link(site.idle.front()));
     }
   }
+  // What is still under way at a server that was forgotten makes its entry anew, until it has ended.
+  std::erase_if(sites_, [](const auto& entry) {
+    const Site& site = entry.second;
+    return !site.endpoint && site.idle.empty() && site.opening.empty() && site.waiting.empty() &&
+           site.resting == 0;
+  });
 }
 
 void ServerPool::Stop() {
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -38,6 +38,8 @@
   void Start(const StartProbe& probe);
   void End(Ticket ticket);
   void SetAddress(ServerId server, const std::string& address);
+  // Starts nothing more there; what is out is let finish.
+  void Forget(ServerId server);
   void CloseIdle(ServerId server);
   // Closes the connection that has been idle longest; false where none is.
   bool ShedIdle();
@@ -80,6 +82,7 @@
   void OnBroken(const Link& link);
   void OpenFailed(const Link& link, Status status);
   void Close(const Link& link);
+  void FailWaiting(Site& site);
   void Sweep();
   void ArmSweep();
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -55,8 +55,10 @@
 // Sessions remembered before the old ones are merged, and how many warm-up times make one old.
 constexpr std::size_t kTokensKept = 4096;
 constexpr int kTokenSpans = 4;
-// Share of the natural traffic that a cold server is given: the rest is for chance.
-constexpr double kColdMargin = 0.8;
+// A cold server's budget, as a multiple of its warm share of the natural traffic. A warm server can do more
+// than what it is seen to finish, so that this stays well under the multiple (2 and more) that makes a cold
+// one fall.
+constexpr double kColdMargin = 1.6;
 
 constexpr Micros kNever = std::numeric_limits<Micros>::max() / 4;
 constexpr int kUnknown = -1;
@@ -78,8 +80,8 @@
 struct Server {
   ServerId id = 0;
   int group = kUnknown;
-  bool open = false, leads = false;  // listed as ready, listed as primary
-  Micros boot = 0;
+  bool open = false, leads = false;              // listed as ready, listed as primary
+  Micros boot = 0, known_since = 0, listed = 0;  // listed: when it was last known to be open
   // Role and position (after the origin), with the time of the evidence.
   Role role = Role::kUnknown;
   Micros role_time = kUnknown, position = kUnknown, position_time = 0;
@@ -130,6 +132,7 @@
   double admit = 1;          // share of reads that its replicas are given
   double spare = kSpareCut;  // share of the reads turned away that its primary is given
   ServerId primary = 0;
+  double warm_rate = 0;           // what a warm member was last seen to finish for this router, a microsecond
   Micros token_floor = kUnknown;  // newest commit whose session was forgotten
 };
 
@@ -238,7 +241,8 @@
     mean += kSmoothing * kSmoothing * (sample / before - mean);
   }
   void CountWork(Server& s, int class_index) {
-    s.work_rate = WorkRate(s) + Usual(class_index) / WorkSpan();
+    s.work_rate *= std::exp(-static_cast<double>(now - s.work_time) / WorkSpan());
+    s.work_rate += Usual(class_index) / WorkSpan();
     s.work_time = now;
   }
   // Too many at a server make all late: the limit of own requests there falls at each sign (turned away,
@@ -252,8 +256,11 @@
     return static_cast<double>(std::max({settings.fall, settings.warm_after, Micros{1}}));
   }
   // Work finished there for this router, a microsecond, over about a warm-up: one of many sees few answers.
+  // What was finished before it was known here cannot have been counted: early on the sum stands for less.
   double WorkRate(const Server& s) const {
-    return s.work_rate * std::exp(-static_cast<double>(now - s.work_time) / WorkSpan());
+    const double known = static_cast<double>(std::max(now - s.known_since, settings.fall));
+    const double counted = 1 - std::exp(-known / WorkSpan());
+    return Ratio(s.work_rate * std::exp(-static_cast<double>(now - s.work_time) / WorkSpan()), counted);
   }
 
   // ---- Positions and roles -------------------------------------------------------------------------------
@@ -335,6 +342,7 @@
     Server& s = servers[e.server];
     const bool fresh = s.group == kUnknown;
     if (fresh) {
+      s.known_since = now;
       s.id = e.server;
       s.group = e.group;
       groups[e.group].members.push_back(e.server);
@@ -398,7 +406,7 @@
   // ---- Probes --------------------------------------------------------------------------------------------
 
   void AskServer(Server& s, Micros gap) {
-    if (!settings.may_probe || s.probing || !(s.open || s.suspect)) return;
+    if (!settings.may_probe || s.probing || !s.open) return;
     if (gap > 0) {
       if (s.probe_sent != kUnknown && now - s.probe_sent < std::max(gap, s.probe_gap)) return;
       if (probe_budget < 1) return;
@@ -433,20 +441,25 @@
         Ratio(static_cast<double>(now - s.cold_since), static_cast<double>(settings.warm_after));
     return std::clamp(settings.cold_from + (1 - settings.cold_from) * age, 0.0, 1.0);
   }
-  // A cold server gets its warm share of what the warm members of its group finish for this router. A share
-  // below one request is drawn once a fall: "one each" from hundreds of gateways would push it over. A router
-  // that knows nothing counts on its even part of one request. It hurts where no warm member is left.
-  bool ColdAllows(Server& s, int class_index) {
-    const double warmth = Warmth(s);
-    if (warmth >= 1) return true;
+  // What a warm member finishes for this router, or last did where none is left: servers may be replaced
+  // faster than they get warm. A primary's few writes say little of what another can bear.
+  void LearnWarmRate(Group& g) {
     double sum = 0;
     int count = 0;
-    for (const ServerId id : groups[s.group].members) {
-      const Server& other = servers[id];
-      if (id == s.id || !other.open || Warmth(other) < 1) continue;
-      sum += WorkRate(other);
+    for (const ServerId id : g.members) {
+      const Server& s = servers[id];
+      if (!s.open || Warmth(s) < 1 || (g.has_primary && id == g.primary)) continue;
+      sum += WorkRate(s);
       ++count;
     }
+    if (count > 0) g.warm_rate = sum / count;
+  }
+  // A cold server gets its warm share of that. A share below one request is drawn once a fall: "one each"
+  // from hundreds of gateways would push it over. A router that knows nothing counts on its even part of one
+  // request.
+  bool ColdAllows(Server& s, int class_index) {
+    const double warmth = Warmth(s);
+    if (warmth >= 1) return true;
     std::erase_if(s.cold_sends, [&](const auto& sent) { return now - sent.first > settings.fall; });
     if (now >= s.next_cold_draw) {
       s.cold_draw = Chance();
@@ -455,17 +468,18 @@
     const double cost = Usual(class_index);
     double used = s.cold_draw * cost;
     for (const auto& sent : s.cold_sends) used += sent.second;
-    const double budget = kColdMargin * warmth * Ratio(sum, count) * static_cast<double>(settings.fall);
+    const double budget =
+        kColdMargin * warmth * groups[s.group].warm_rate * static_cast<double>(settings.fall);
     return used < std::max(budget, cost / settings.gateways);
   }
 
   // ---- Arrival -------------------------------------------------------------------------------------------
 
   void On(const RequestArrived& e) {
-    if (e.class_index < 0 || static_cast<std::size_t>(e.class_index) >= settings.classes.size()) {
-      Do(Refuse{e.id, 0});
-      return;
-    }
+    const bool known_class =
+        e.class_index >= 0 && static_cast<std::size_t>(e.class_index) < settings.classes.size();
+    // No server was ever listed in that group; remembering it would let clients fill the memory.
+    if (!known_class || !groups.contains(e.group)) return Do(Refuse{e.id, 0});
     Request r{.id = e.id, .class_index = e.class_index, .group = e.group, .key = e.key, .arrived = now};
     r.deadline = now + std::max<Micros>(e.remaining, 0);
     if (ClassOf(r.class_index).freshness == Freshness::kSession) {
@@ -847,15 +861,34 @@
     housekeeping_set = false;
     KeepList();
     for (auto& [id, s] : servers) {
+      if (s.open) s.listed = now;
       if (s.suspect && now >= s.next_try) AskServer(s, s.back_off);
     }
+    ForgetServers();
     for (auto& [number, g] : groups) {
+      LearnWarmRate(g);
       const bool sound = g.has_primary && servers[g.primary].open && !servers[g.primary].suspect;
       if (!sound && !g.members.empty()) SearchPrimary(number);
     }
     PumpAll();
     ForgetTokens();
   }
+  // Servers are replaced by others under new ids for ever: one that is gone, with nothing out, leaves no
+  // trace.
+  void ForgetServers() {
+    const auto gone = [&](const auto& entry) {
+      const Server& s = entry.second;
+      return !s.open && !s.probing && s.flights.empty() &&
+             now - s.listed > kForgetDeadlines * longest_deadline;
+    };
+    for (auto& [number, g] : groups) {
+      const auto left = [&](ServerId id) {
+        return gone(std::pair<ServerId, const Server&>(id, servers[id]));
+      };
+      if (std::erase_if(g.members, left) > 0) FindPrimary(g);
+    }
+    std::erase_if(servers, gone);
+  }
   // Old commits are merged into one floor for their group: memory stays bounded and no read goes stale.
   void ForgetTokens() {
     if (tokens.size() < tokens_kept) return;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -54,6 +54,7 @@
       if (const auto* a = std::get_if<StartAttempt>(&c)) attempts.push_back(*a);
       if (const auto* p = std::get_if<StartProbe>(&c)) probes.push_back(*p);
       if (const auto* e = std::get_if<EndTicket>(&c)) ended.push_back(e->ticket);
+      if (const auto* f = std::get_if<ForgetServer>(&c)) forgotten.push_back(f->server);
       if (const auto* s = std::get_if<SetAddress>(&c)) addresses[s->server] = s->address;
       if (const auto* a = std::get_if<AnswerRequest>(&c)) answers[a->id].push_back(a->answer);
     }
@@ -65,6 +66,7 @@
   std::vector<StartProbe> probes;
   std::vector<Ticket> ended;
   std::map<ServerId, std::string> addresses;
+  std::vector<ServerId> forgotten;
   std::map<RequestId, std::vector<Answer>> answers;
 };
 
@@ -172,6 +174,20 @@
   EXPECT_EQ(b.addresses[2], "127.0.0.2:9");
 }
 
+// Guards against keeping the names and addresses of all servers that ever were.
+TEST(Exchange, AServerThatLeftIsForgottenAndComesBackAsAnother) {
+  Bench b;
+  ListedServer q = Bench::Listed("q");
+  q.state = ServerState::kGone;
+  b.exchange.Heard(b.now, {8, false, {q, q}});
+  b.Collect();
+  EXPECT_EQ(b.forgotten, (std::vector<ServerId>{2}));
+  b.exchange.Heard(b.now, {9, true, {Bench::Listed("p"), Bench::Listed("q")}});
+  b.Collect();
+  EXPECT_EQ(b.forgotten, (std::vector<ServerId>{2, 3}));
+  EXPECT_EQ(b.addresses.count(4), 1u);  // q under a number of its own
+}
+
 // Guards against a read taken for newer than it is: positions are rounded down, commits up, to the origin.
 TEST(Exchange, ACommitIsRoundedUpAndASessionReadWaitsForIt) {
   Settings settings = TestSettings();
@@ -208,6 +224,23 @@
   EXPECT_EQ(b.attempts.size(), 4u);
 }
 
+// Guards against a planned end that leaves a request without its answer, taken before or after it was told.
+TEST(Exchange, AllIsAnsweredByAPlannedEnd) {
+  Bench b;
+  const RequestId before = b.Ask(kKeyedWrite, 5 * kSecond);
+  b.exchange.EndBy(b.now + 700 * kMs);
+  b.Pass(300 * kMs);
+  const RequestId after = b.Ask(kKeyedWrite, 5 * kSecond);
+  ASSERT_EQ(b.attempts.size(), 2u);
+  EXPECT_EQ(b.attempts[1].give_up, b.now + 400 * kMs);
+  EXPECT_TRUE(b.answers[before].empty());
+  b.Pass(401 * kMs);
+  EXPECT_EQ(b.answers[before].size(), 1u);
+  EXPECT_EQ(b.answers[after].size(), 1u);
+  EXPECT_EQ(b.exchange.live(), 0u);
+  EXPECT_EQ(b.exchange.counters().overdue, 0u);
+}
+
 TEST(Counters, AreNamed) {
   ExchangeCounters c;
   c.taken = 3;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -481,6 +481,17 @@
   EXPECT_EQ(busy.Next().first, '\0');
 }
 
+// Guards against being killed with a request unanswered: a deadline over 3 s is not waited for.
+TEST(Node, AStopAnswersAllBeforeTheEndByForce) {
+  Settings settings;
+  settings.classes.resize(2);
+  settings.classes[0].deadline = 1'200'000;
+  EXPECT_EQ(PlanStop(settings).answer_by, 1'600'000);
+  settings.classes[1].deadline = 5'000'000;
+  EXPECT_EQ(PlanStop(settings).answer_by, 3'400'000);
+  EXPECT_LT(PlanStop(settings).exit_by, 3'700'000);
+}
+
 // Guards against a repeat that is begun after its time because its connection was long in coming up.
 TEST(ServerPool, WhatIsTooLateIsNotBegun) {
   ScriptedServer server([](const std::string&) { return Row("v"); });
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -645,5 +645,58 @@
   EXPECT_TRUE(Refused(actions, 1));
 }
 
+// Guards against refusing most reads while every replica is new: their warm share is known from before, and
+// from the first seconds on.
+TEST(Warmth, ColdServersServeWhenNoWarmOneIsLeft) {
+  Scene s;
+  RequestId id = 0;
+  const auto served = [&](Micros span) {
+    int sends = 0;
+    for (const Micros end = s.now() + span; s.now() < end; s.Pass(20 * kMs)) {
+      const std::optional<ServerId> to = SentTo(s.Arrive(id + 1, kAnyRead), id + 1);
+      ++id;
+      if (to) s.End(id, *to, Status::kOk, Role::kReplica, s.now_ms());
+      sends += to.has_value();
+    }
+    return sends;
+  };
+  EXPECT_GE(served(3 * kSecond), 145);
+  ListEntry second = Ready(2), third = Ready(3);
+  second.boot_time = third.boot_time = s.now();
+  s.List(ListKind::kDelta, {second, third});
+  const int sends = served(kSecond);
+  EXPECT_GE(sends, 10);  // a fifth of what it would be if they were warm, and a little more
+  EXPECT_LE(sends, 30);
+}
+
+// Guards against memory that grows with every server that ever was: what is gone for long leaves no trace, so
+// that one that comes back under its id has to show its position anew. Nor is it asked for ever how it is.
+TEST(List, WhatHasLeftForLongIsForgotten) {
+  Scene s;
+  s.Arrive(1, kKeyedWrite, 5);
+  s.End(1, 1, Status::kOk, Role::kPrimary, s.now_ms() - 1);
+  s.Probed(2, 0);
+  s.Arrive(2, kSessionRead, 5);
+  s.End(2, 2, Status::kReset);  // suspect from then on
+  s.ProbeFailed(2);
+  ListEntry gone = Ready(2), other = Ready(3);
+  gone.state = other.state = ServerState::kGone;
+  s.List(ListKind::kDelta, {gone, other});
+  for (const Probe& probe : Only<Probe>(s.Pass(60 * kSecond))) EXPECT_NE(probe.server, 2u);
+  s.List(ListKind::kDelta, {Ready(2)});
+  EXPECT_FALSE(SentTo(s.Arrive(3, kSessionRead, 5), 3));
+  EXPECT_EQ(SentTo(s.Probed(2, 0), 3), 2u);
+}
+
+// Guards against clients filling the memory with groups that nobody ever listed.
+TEST(List, AGroupThatWasNeverListedIsRefusedAtOnce) {
+  Scene s;
+  RequestArrived e;
+  e.id = 1;
+  e.group = 77;
+  e.remaining = kSecond;
+  EXPECT_EQ(Only<Refuse>(s.Take(e)).size(), 1u);
+}
+
 }  // namespace
 }  // namespace tulipyoke
