Shed idle clients from a quarter of the descriptors on, and none that has only just connected

A trace of the clients by state shows 128 of them started, asked once and silent since (128 is a third of the 384 descriptors, all that clients may hold for requests), besides 56 that say nothing: until the 2 s were over nobody could ask. Ruled out: servers (att/r 0.23, no_room 0), memory, CPU (0.18 s in a second at most). Then, as well: from a quarter of limits.sockets on, each new client takes the place of one or two idle ones.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -27,12 +27,17 @@
 // So may be one that holds its connection without a request; sooner, the more of the places are taken.
 constexpr Micros kIdleCrowded = 2'020'000;
 constexpr Micros kIdle = 10'000'000;
+// When places are short, a client that has asked nothing for so long since it connected goes before all
+// others.
+constexpr Micros kTimeToAsk = 500'000;
 // Statements in a row that cannot be used, after which a client is taken for one that will never do better.
 constexpr int kMostRefusals = 8;
 // Messages of one client handled in a turn, so that a long queue of them does not hold up the others.
 constexpr int kMessagesATurn = 16;
 // Bytes thrown away of a client that goes on sending after its last words; then its sending is held up.
 constexpr std::size_t kMostDiscarded = std::size_t{64} << 10;
+// Idle clients closed for one new one at most: more than one, so that their number falls again after a rush.
+constexpr int kShedAtOnce = 2;
 // Candidates looked at closely when a place is wanted.
 constexpr int kShedTries = 4;
 // Clients beyond the limit that are still being told so; any more are told and closed in one go.
@@ -126,6 +131,10 @@
   ++counters_.accepted;
   std::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  // Clients may hold but a part of the descriptors for their requests. Where each asks on a connection of its
+  // own and keeps it, those that are idle must go before that part is used up, or nobody can ask any more.
+  for (int shed = 0; shed < kShedAtOnce && clients_.size() >= options_.kept_clients && ShedIdle(); ++shed) {
+  }
   const bool room = clients_.size() < options_.most_clients || ShedIdle();
   if (!room && clients_.size() >= options_.most_clients + kMostTurnedAway) {
     ++counters_.turned_away;
@@ -412,11 +421,16 @@
   clients_.erase(ClientPtr(client));
 }
 
-// Those that never asked anything go first, then whoever has been idle longest.
+// Those that never asked anything though they had time to go first, then whoever has been idle longest. One
+// that has only just connected is about to ask: shed for the next one, it would come back, and so would that
+// one.
 bool ClientFront::ShedIdle() {
-  const auto before = [](const ClientPtr& a, const ClientPtr& b) {
-    return std::pair(a->asked, a->last_active) < std::pair(b->asked, b->last_active);
+  const Micros now = clock_.Now();
+  const auto rank = [now](const ClientPtr& client) {
+    const bool mute = !client->asked && now - client->connected > kTimeToAsk;
+    return std::pair(!mute, client->last_active);
   };
+  const auto before = [&](const ClientPtr& a, const ClientPtr& b) { return rank(a) < rank(b); };
   std::vector<ClientPtr> oldest;
   for (const ClientPtr& client : clients_) {
     if (client->request != 0 || client->writing || client->ending || client->reader.buffered() > 0) continue;
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -21,6 +21,7 @@
 struct FrontOptions {
   asio::ip::tcp::endpoint listen;
   std::size_t most_clients = 0;
+  std::size_t kept_clients = 0;   // from so many on each new one takes the place of an idle one
   std::size_t most_buffered = 0;  // bytes of all clients together: unread ones, and as many under way
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -19,6 +19,8 @@
 // socket, discovery, and clients that are being told that there is no room.
 constexpr int kOwnDescriptors = 48;
 constexpr double kClientShare = 0.55;
+// Clients hold a third of the descriptors for requests at most; idle ones are closed well before.
+constexpr double kKeptShare = 0.25;
 // Share of the memory that clients' unread bytes may take, and as much again their statements under way.
 constexpr std::size_t kBufferedShare = 8;
 // Handlers run in one turn at most, so that timers and commands are not kept waiting by a busy socket.
@@ -65,8 +67,9 @@
 
 FrontOptions FrontOptionsOf(const Config& config) {
   const std::size_t budget = SocketBudget(config.sockets);
-  return {ToEndpoint(config.listen), static_cast<std::size_t>(kClientShare * static_cast<double>(budget)),
-          config.memory_bytes / kBufferedShare};
+  const auto most = static_cast<std::size_t>(kClientShare * static_cast<double>(budget));
+  const auto kept = static_cast<std::size_t>(kKeptShare * config.sockets);
+  return {ToEndpoint(config.listen), most, std::min(most, kept), config.memory_bytes / kBufferedShare};
 }
 
 }  // namespace
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -353,6 +353,25 @@
   EXPECT_EQ(idle[0].Next().first, '\0');
 }
 
+// Guards against a crowd of new clients that shed each other before they have asked anything.
+TEST(Node, ANewClientIsNotShedForTheNextOneBeforeItHasAsked) {
+  ScriptedServer server([](const std::string&) { return Row("v"); });
+  Running node({server.port()}, 64);
+  std::vector<Peer> idle;
+  for (int i = 0; i < 17; ++i) {
+    idle.push_back(node.Session());
+    idle.back().Write(Ask(std::to_string(i)));
+    EXPECT_EQ(idle.back().UntilReady()[0].first, 'T');
+  }
+  Peer first = node.Connect();
+  Peer second = node.Session();  // both are in by the time that the second is answered
+  std::string hello;
+  pg::AppendStartup(hello, "api", "ledger");
+  first.Write(hello + Ask("first"));
+  EXPECT_EQ(first.UntilReady().back().first, 'Z');
+  EXPECT_EQ(first.UntilReady()[0].first, 'T');
+}
+
 // Guards against answers piling up for a client that asks on and on and reads nothing.
 TEST(Node, AClientThatDoesNotReadIsHeldUp) {
   ScriptedServer server([](const std::string&) { return Row(std::string(60000, 'v')); });
@@ -515,6 +534,23 @@
   pool.Stop();
 }
 
+// Guards against clients that keep a connection for each request using up all that they may hold.
+TEST(ClientFront, IdleClientsGoBeforeAllPlacesAreTaken) {
+  asio::io_context io;
+  LoopClock clock;
+  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
+  ClientFront front(io, clock, exchange, {Loopback(0), 100, 4, 1 << 20});
+  std::vector<tcp::socket> clients;
+  for (int i = 0; i < 8; ++i) clients.emplace_back(io).connect(Loopback(front.port()));
+  while (front.counters().accepted < 8) {
+    clock.NewTurn();
+    io.run_one();
+  }
+  EXPECT_EQ(front.clients(), 4u);
+  EXPECT_EQ(front.counters().shed, 4u);
+  front.Stop();
+}
+
 // Guards against a list lost between chunks: lines come out whole, however the answer is cut.
 TEST(WatchParser, RandomCutsGiveTheSameLines) {
   const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
