Add the operators' door, figures by class, and one service state for drain and stop

There was no door, and the only no was the closed listener, 0.5 s after SIGTERM.

Lines at fault: ClientFront::OnQuery answered every empty query with EmptyQueryResponse, whatever the state; ClientFront::Drain closed what was idle and, of new connections, also those that had not asked yet.

Checked: a fetch waits at most for one turn; the attempts counted are those whose write completed, also when the attempt is given up in the same turn. Ruled out: figures kept by the front, which does not see attempts.

--- a/include/tulipyoke/router.hpp
+++ b/include/tulipyoke/router.hpp
@@ -202,6 +202,8 @@
   // Takes one event at the clock time `now` and appends what is to be done, in order. The first event
   // of a Router is ListNews.
   void handle(Micros now, const Event& event, std::vector<Action>& actions);
+  // Whether it now passes over a server that it knows: it drains, is suspect or is left alone for a while.
+  bool avoids(Micros now, ServerId server) const;
 
  private:
   struct State;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -71,6 +71,7 @@
     config.name = json.value("name", "");
     config.listen = json.value("listen", "");
     config.discovery = json.value("discovery", "");
+    config.operators = json.value("operator", "");
     if (json.contains("seed")) config.seed = ParseSeed(json.at("seed"));
     const Json limits = json.value("limits", Json::object());
     config.memory_bytes =
@@ -117,8 +118,10 @@
   prevail("LB_NAME", config.name);
   prevail("LB_LISTEN", config.listen);
   prevail("LB_DISCOVERY", config.discovery);
+  prevail("LB_OPERATOR", config.operators);
   SplitAddress(config.listen);
   SplitAddress(config.discovery);
+  if (!config.operators.empty()) SplitAddress(config.operators);
   return config;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -15,6 +15,7 @@
 
 struct Config {
   std::string name, listen, discovery;
+  std::string operators;  // where the operators' door listens; empty: there is none
   std::uint64_t seed = 0;
   std::size_t memory_bytes = 0;
   int sockets = 0;
@@ -27,7 +28,8 @@
 
 // Throws std::runtime_error in plain words.
 Config ParseConfig(std::string_view text);
-// Reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY prevail where they are set.
+// Reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_OPERATOR prevail where they
+// are set.
 Config LoadConfig();
 // Reads that file anew while the program runs. The variables are as old as the program, so that the file's
 // word stands alone.
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -50,8 +50,27 @@
   return text;
 }
 
+std::string ToText(const Figures& figures, char end) {
+  std::string text;
+  const auto add = [&](const std::string& name, std::uint64_t value) {
+    text += name + "=" + std::to_string(value) + end;
+  };
+  for (const auto& [name, ends] : figures.classes) {
+    add("passed." + name, ends.passed);
+    add("dropped." + name, ends.dropped);
+    add("bad_gateway." + name, ends.bad_gateway);
+  }
+  add("upstream_tries", figures.upstream_tries);
+  add("in_progress", figures.in_progress);
+  add("known_readings_servers", figures.known_servers);
+  add("skipped_readings_servers", figures.skipped_servers);
+  return text;
+}
+
 Exchange::Exchange(ExchangeOptions options)
-    : options_(std::move(options)), router_(options_.settings, options_.seed) {}
+    : options_(std::move(options)),
+      router_(options_.settings, options_.seed),
+      ends_(options_.settings.classes.size()) {}
 
 void Exchange::Start(Micros now, const Listing& known) { Pass(now, NewsOf(known, ListKind::kCached)); }
 
@@ -84,6 +103,24 @@
   Pass(now, RequestGone{id});
 }
 
+void Exchange::Written(Ticket ticket) {
+  const auto it = out_.find(ticket);
+  written_ += it != out_.end() && !it->second.probe ? 1 : 0;
+}
+
+Figures Exchange::FiguresAt(Micros now) const {
+  Figures figures;
+  for (std::size_t i = 0; i < ends_.size(); ++i) {
+    figures.classes.emplace_back(options_.settings.classes[i].name, ends_[i]);
+  }
+  figures.upstream_tries = written_;
+  figures.in_progress = requests_.size();
+  figures.known_servers = servers_.size();
+  for (const auto& [id, known] : servers_)
+    figures.skipped_servers += router_.avoids(now, known.server) ? 1 : 0;
+  return figures;
+}
+
 void Exchange::Finished(Micros now, Ticket ticket, Outcome outcome) {
   EndOut(now, ticket, std::move(outcome));
 }
@@ -179,13 +216,23 @@
 
 // The only place from which a final answer goes out: the first one ends the request.
 void Exchange::Give(RequestId id, Answer answer) {
-  if (requests_.erase(id) == 0) return;
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  CountEnd(it->second.class_index, answer);
+  requests_.erase(it);
   if (std::holds_alternative<Served>(answer)) ++counters_.served;
   if (std::holds_alternative<Refused>(answer)) ++counters_.refused;
   if (std::holds_alternative<Failed>(answer)) ++counters_.failed;
   commands_.push_back(AnswerRequest{id, std::move(answer)});
 }
 
+void Exchange::CountEnd(int class_index, const Answer& answer) {
+  ClassFigures& ends = ends_[static_cast<std::size_t>(class_index)];
+  ++(std::holds_alternative<Served>(answer)    ? ends.passed
+     : std::holds_alternative<Refused>(answer) ? ends.dropped
+                                               : ends.bad_gateway);
+}
+
 // Positions on sockets are Unix milliseconds; the module's count from the origin. Rounded down, commits up:
 // so no read is ever taken to be newer than it is.
 std::optional<std::int64_t> Exchange::PositionMs(const Outcome& outcome, bool commit) const {
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -101,6 +101,18 @@
 };
 std::string ToText(const ExchangeCounters& counters);
 
+// What operators are shown: ends by class, counted as the answer goes out, and the state of the moment.
+struct ClassFigures {
+  std::uint64_t passed = 0, dropped = 0, bad_gateway = 0;
+};
+struct Figures {
+  std::vector<std::pair<std::string, ClassFigures>> classes;  // by name
+  std::uint64_t upstream_tries = 0;                           // attempts written whole
+  std::size_t in_progress = 0, known_servers = 0, skipped_servers = 0;
+};
+// One `name=value` each, with `end` behind it.
+std::string ToText(const Figures& figures, char end);
+
 struct ExchangeOptions {
   Settings settings;
   std::uint64_t seed = 0;
@@ -117,6 +129,10 @@
   void Start(Micros now, const Listing& known);
   RequestId Submit(Micros now, const ClientRequest& request);
   void ClientLeft(Micros now, RequestId id);
+  // A request that a front turned away by itself; the module never hears of it.
+  void CountTurnedAway(int class_index, const Answer& answer) { CountEnd(class_index, answer); }
+  // The attempt's last byte has been written to its server; probes are passed over.
+  void Written(Ticket ticket);
   // A ticket that is no longer out is passed over.
   void Finished(Micros now, Ticket ticket, Outcome outcome);
   void Heard(Micros now, const Listing& listing);
@@ -129,6 +145,7 @@
   std::vector<Command> TakeCommands() { return std::exchange(commands_, {}); }
   const Settings& settings() const { return options_.settings; }
   const ExchangeCounters& counters() const { return counters_; }
+  Figures FiguresAt(Micros now) const;
   std::size_t live() const { return requests_.size(); }
 
  private:
@@ -158,6 +175,7 @@
   void Schedule(Micros when, DueKind kind, std::uint64_t id);
   void EndOut(Micros now, Ticket ticket, Outcome outcome);
   void Give(RequestId id, Answer answer);
+  void CountEnd(int class_index, const Answer& answer);
   Micros StartBy(RequestId id, const Request& request) const;
   std::optional<std::int64_t> PositionMs(const Outcome& outcome, bool commit) const;
   Report ReportOf(const Outcome& outcome) const;
@@ -180,6 +198,8 @@
   ExchangeOptions options_;
   Router router_;
   ExchangeCounters counters_;
+  std::vector<ClassFigures> ends_;  // by class
+  std::uint64_t written_ = 0;
   std::vector<Command> commands_;
   std::deque<Event> events_;
   bool passing_ = false;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kMostUnsent = std::size_t{16} << 10;
 // When a client may come back that was refused for want of memory.
 constexpr int kCrowdedRetryMs = 100;
+// And one that came to a router out of service: another one takes it at once.
+constexpr int kElsewhereRetryMs = 20;
 // A client that takes nothing of what is sent to it for so long is given up.
 constexpr Micros kStuck = 30'000'000;
 // A client that has asked nothing whole for so long since it connected is told so and let go.
@@ -79,11 +81,12 @@
   std::size_t unsent() const { return out.size() + on_the_way.size(); }
 };
 
-ClientFront::ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange,
+ClientFront::ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const Service& service,
                          const FrontOptions& options)
     : io_(io),
       clock_(clock),
       exchange_(exchange),
+      service_(service),
       options_(options),
       acceptor_(io),
       accept_pause_(io),
@@ -213,9 +216,8 @@
   }
   Write(client);
   if (client->closed) return;
-  if (draining_ && client->request == 0 && !client->ending && client->reader.buffered() == 0) {
-    return Finish(client);
-  }
+  // Nothing but its answer stands before its close, so that no next request crosses it.
+  if (service_.leaving() && client->asked && Idle(*client)) return Finish(client);
   const bool held_up = client->unsent() >= kMostUnsent || crowded || client->reader.buffered() >= kReadAhead;
   // A whole message may be larger than what is read ahead.
   if (!held_up || (client->request == 0 && client->unsent() < kMostUnsent)) Read(client);
@@ -277,6 +279,7 @@
   };
   switch (pg::HousekeepingOf(text)) {
     case pg::Housekeeping::kEmpty:
+      if (!service_.ready()) return EndWith(client, "57P03", "out of service");
       pg::AppendMessage(client->out, 'I', {});
       return pg::AppendReady(client->out);
     case pg::Housekeeping::kSet:
@@ -291,24 +294,32 @@
   const std::optional<pg::Statement> statement = pg::ParseStatement(text);
   const auto found = statement ? classes_.find(std::string(statement->class_name)) : classes_.end();
   const char* reason = WhyNot(statement ? &*statement : nullptr, found);
+  const int class_index = found == classes_.end() ? -1 : found->second;
   if (reason) {
     ++counters_.malformed;
+    if (class_index >= 0) exchange_.CountTurnedAway(class_index, Failed{});
     if (++client->refusals >= kMostRefusals) return EndWith(client, "08P01", reason);
     pg::AppendError(client->out, "ERROR", "42601", reason);
     return pg::AppendReady(client->out);
   }
   client->refusals = 0;
+  if (service_.Refuses(clock_.Now())) {
+    exchange_.CountTurnedAway(class_index, Refused{});
+    return EndWith(client, "57P03", "out of service: trying again is harmless",
+                   std::to_string(kElsewhereRetryMs));
+  }
   if (carried_ + text.size() > options_.most_buffered) {
     ++counters_.turned_away;
+    exchange_.CountTurnedAway(class_index, Refused{});
     pg::AppendError(client->out, "ERROR", "53300", "too much is under way", std::to_string(kCrowdedRetryMs));
     return pg::AppendReady(client->out);
   }
-  const Freshness freshness = exchange_.settings().classes[static_cast<std::size_t>(found->second)].freshness;
+  const Freshness freshness = exchange_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
   client->open_id = statement->id;
   open_ids_.insert(client->open_id);
   const auto tenant = tenants_.find(std::string(statement->tenant));
   ClientRequest request;
-  request.class_index = found->second;
+  request.class_index = class_index;
   request.tenant = tenant == tenants_.end() ? 0 : tenant->second;
   request.group = statement->cluster;
   if (freshness == Freshness::kSession || freshness == Freshness::kWrite) request.key = KeyOf(statement->key);
@@ -387,12 +398,13 @@
                     });
 }
 
-void ClientFront::EndWith(const ClientPtr& client, std::string_view code, std::string_view message) {
+void ClientFront::EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
+                          std::string_view detail) {
   if (client->ending || client->closed) return;
   client->ending = true;
   client->ending_since = clock_.Now();
   client->reader = pg::MessageReader(false);  // what it has sent is not kept while it takes its leave
-  pg::AppendError(client->out, "FATAL", code, message);
+  pg::AppendError(client->out, "FATAL", code, message, detail);
   Write(client);
 }
 
@@ -449,10 +461,15 @@
   return false;
 }
 
-void ClientFront::Drain() {
-  if (draining_) return;
-  draining_ = true;
-  for (;;) {
+bool ClientFront::Idle(const Client& client) const {
+  if (client.request != 0 || client.ending || client.closed || client.queued) return false;
+  // What has arrived and was not read yet is a request like any other.
+  std::error_code error;
+  return client.reader.buffered() == 0 && client.socket.available(error) == 0;
+}
+
+void ClientFront::StopAccepting() {
+  while (acceptor_.is_open()) {
     std::error_code error;
     asio::ip::tcp::socket socket = acceptor_.accept(error);
     if (error) break;
@@ -461,12 +478,6 @@
   std::error_code ignored;
   accept_pause_.cancel();
   acceptor_.close(ignored);
-  const std::unordered_set<ClientPtr> clients = clients_;
-  for (const ClientPtr& client : clients) {
-    if (client->closed || client->ending || client->request != 0) continue;
-    // What has arrived and was not read yet is a request like any other.
-    if (client->socket.available(ignored) == 0 && client->reader.buffered() == 0) Finish(client);
-  }
 }
 
 void ClientFront::ArmSweep() {
@@ -490,6 +501,12 @@
       continue;
     }
     if (client->ending || client->request != 0 || client->queued || client->writing) continue;
+    // One that has only just connected is about to ask.
+    const bool new_here = !client->asked && now - client->connected <= kTimeToAsk;
+    if (service_.ReleasesIdle(now) && !new_here && Idle(*client)) {
+      Finish(client);
+      continue;
+    }
     // Silence, or half a message: whoever means to ask has done so by now.
     const bool partial = client->reader.buffered() > 0;
     const Micros since = client->asked ? client->message_since : client->connected;
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -13,6 +13,7 @@
 
 #include "src/exchange/exchange.hpp"
 #include "src/net/clock.hpp"
+#include "src/net/service.hpp"
 #include "src/pg/statement.hpp"
 #include "src/pg/wire.hpp"
 
@@ -33,12 +34,13 @@
 class ClientFront {
  public:
   // Throws std::runtime_error where the address cannot be listened on.
-  ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const FrontOptions& options);
+  ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const Service& service,
+              const FrontOptions& options);
   ~ClientFront();
 
   void Deliver(RequestId id, const Answer& answer);
-  // Takes in what has connected already, accepts nothing more and closes each client once it is idle.
-  void Drain();
+  // Takes in what has connected already and accepts nothing more.
+  void StopAccepting();
   void Stop();
   bool ShedIdle();
 
@@ -62,7 +64,10 @@
   void EndRequest(const ClientPtr& client);
   void Write(const ClientPtr& client);
   // Says why, then ends the connection without losing what was said.
-  void EndWith(const ClientPtr& client, std::string_view code, std::string_view message);
+  void EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
+               std::string_view detail = {});
+  // Nothing is under way for it, and nothing that it sent is still to be read.
+  bool Idle(const Client& client) const;
   void Finish(const ClientPtr& client);
   void Close(const ClientPtr& client);
   void Sweep();
@@ -71,6 +76,7 @@
   asio::io_context& io_;
   LoopClock& clock_;
   Exchange& exchange_;
+  const Service& service_;
   FrontOptions options_;
   FrontCounters counters_;
   asio::ip::tcp::acceptor acceptor_;
@@ -80,7 +86,6 @@
   std::unordered_set<std::string> open_ids_;
   ClassNames classes_, tenants_;
   std::size_t buffered_ = 0, carried_ = 0;  // bytes not read as messages yet; statements under way
-  bool draining_ = false;
 };
 
 }  // namespace tulipyoke::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -25,8 +25,6 @@
 constexpr std::size_t kBufferedShare = 8;
 // Handlers run in one turn at most, so that timers and commands are not kept waiting by a busy socket.
 constexpr int kHandlersATurn = 64;
-// After SIGTERM clients go on coming for up to 0.4 s: they are served until then as ever.
-constexpr Micros kStopWindow = 500'000;
 // The end comes by force at the earliest this long after SIGTERM and the longest deadline, which counts as 3
 // s at most. All is answered a good while before.
 constexpr Micros kForceAfter = 700'000;
@@ -79,13 +77,19 @@
       signals_(io_, SIGHUP, SIGTERM, SIGINT),
       exchange_(OptionsOf(config, clock_.Now())),
       pool_(io_, clock_, exchange_, PoolOptionsOf(config)),
-      front_(io_, clock_, exchange_, FrontOptionsOf(config)),
+      front_(io_, clock_, exchange_, service_, FrontOptionsOf(config)),
       discovery_(io_, clock_, exchange_, config.discovery, config.known.version),
       due_timer_(io_),
       stop_timer_(io_),
       stop_plan_(PlanStop(config.settings)) {
   signals_.add(SIGUSR1);
   exchange_.Start(clock_.Now(), config.known);
+  if (!config.operators.empty()) {
+    door_.emplace(
+        io_, ToEndpoint(config.operators),
+        [this](const std::string& method, const std::string& path) { return AnswerOperator(method, path); });
+  }
+  service_.Start();
   AwaitSignal();
   const std::string host = SplitAddress(config.listen).host;
   LogLine(config.name + " serves on " + host + ":" + std::to_string(front_.port()) + ", knows " +
@@ -120,12 +124,12 @@
   }
   if (!stop_asked_) return;
   const Micros since = clock_.Now() - *stop_asked_;
-  if (since >= kStopWindow && !draining_) {
-    draining_ = true;
-    front_.Drain();
+  if (service_.ReleasesIdle(clock_.Now()) && listening_) {
+    listening_ = false;
+    front_.StopAccepting();
     LogLine("draining: " + std::to_string(exchange_.live()) + " requests are still out");
   }
-  done_ = (draining_ && front_.clients() == 0) || since >= stop_plan_.exit_by;
+  done_ = (!listening_ && front_.clients() == 0) || since >= stop_plan_.exit_by;
   if (!done_) {
     stop_timer_.expires_after(std::chrono::milliseconds(10));
     stop_timer_.async_wait([](std::error_code) {});
@@ -170,6 +174,7 @@
 
 void Node::Stop() {
   stop_asked_ = clock_.Now();
+  service_.Stop(*stop_asked_);
   exchange_.EndBy(*stop_asked_ + stop_plan_.answer_by);
   LogLine("told to stop");
 }
@@ -185,13 +190,33 @@
   }
 }
 
-void Node::PrintCounters() const {
+Reply Node::AnswerOperator(const std::string& method, const std::string& path) {
+  const std::string wanted = path == "/control/ready" || path == "/control/counters"              ? "GET"
+                             : path == "/control/out-of-service" || path == "/control/in-service" ? "POST"
+                                                                                                  : "";
+  if (wanted.empty()) return {404, "no such call\n"};
+  if (method != wanted) return {405, "this call is a " + wanted + "\n", wanted};
+  const Micros now = clock_.Now();
+  if (path == "/control/counters") return {200, ToText(exchange_.FiguresAt(now), '\n')};
+  if (path == "/control/ready") return service_.ready() ? Reply{200, "yes\n"} : Reply{503, "no\n"};
+  if (path == "/control/in-service") {
+    if (!service_.PutBack()) return {409, "stopping\n"};
+    LogLine("put back into service");
+    return {200, "in service\n"};
+  }
+  service_.TakeOut(now);
+  LogLine("taken out of service: " + std::to_string(exchange_.live()) + " requests are still out");
+  return {200, "out of service\n"};
+}
+
+void Node::PrintCounters() {
   const auto text = [](const char* name, std::uint64_t value) {
     return std::string(" ") + name + "=" + std::to_string(value);
   };
   const FrontCounters& f = front_.counters();
   const PoolCounters& p = pool_.counters();
   const DiscoveryCounters& d = discovery_.counters();
+  LogLine("figures: " + ToText(exchange_.FiguresAt(clock_.Now()), ' '));
   LogLine("requests: " + ToText(exchange_.counters()));
   LogLine("clients:" + text("open", front_.clients()) + text("accepted", f.accepted) +
           text("turned_away", f.turned_away) + text("shed", f.shed) + text("idle", f.idle) +
@@ -200,6 +225,10 @@
           text("open_failed", p.open_failed) + text("retired", p.retired) + text("given_up", p.given_up) +
           text("broken", p.broken) + text("garbage", p.garbage) + text("stray", p.stray) +
           text("no_room", p.no_room));
+  if (door_) {
+    const DoorCounters& o = door_->counters();
+    LogLine("door:" + text("calls", o.calls) + text("bad", o.bad) + text("silent", o.silent));
+  }
   LogLine("discovery:" + text("connects", d.connects) + text("lost", d.lost) +
           text("bad_lines", d.bad_lines));
 }
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -10,8 +10,10 @@
 #include "src/exchange/exchange.hpp"
 #include "src/net/clock.hpp"
 #include "src/net/discovery.hpp"
+#include "src/net/door.hpp"
 #include "src/net/front.hpp"
 #include "src/net/pool.hpp"
+#include "src/net/service.hpp"
 
 namespace tulipyoke::net {
 
@@ -26,6 +28,7 @@
   explicit Node(const Config& config);
 
   std::uint16_t port() const { return front_.port(); }
+  std::uint16_t door_port() const { return door_ ? door_->port() : 0; }
   // Until it has been told to stop and has finished what it took.
   void Run();
 
@@ -35,7 +38,9 @@
   void AwaitSignal();
   void Reload();
   void Stop();
-  void PrintCounters() const;
+  // What the operators' door says to a call.
+  Reply AnswerOperator(const std::string& method, const std::string& path);
+  void PrintCounters();
 
   Config config_;
   asio::io_context io_{1};
@@ -43,14 +48,16 @@
   asio::signal_set signals_;
   LoopClock clock_;
   Exchange exchange_;
+  Service service_;
   ServerPool pool_;
   ClientFront front_;
   DiscoveryWatch discovery_;
+  std::optional<OperatorDoor> door_;
   asio::steady_timer due_timer_, stop_timer_;
   std::optional<Micros> armed_for_;
   std::optional<Micros> stop_asked_;
   StopPlan stop_plan_;
-  bool draining_ = false, done_ = false;
+  bool listening_ = true, done_ = false;
 };
 
 }  // namespace tulipyoke::net
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -259,6 +259,7 @@
   const Ticket ticket = job.ticket;
   asio::async_write(link->socket, asio::buffer(link->out),
                     [this, link, ticket](std::error_code error, std::size_t) {
+                      if (!error) exchange_.Written(ticket);
                       if (link->state != Connection::State::kBusy || link->ticket != ticket) return;
                       if (error) return OnBroken(link);
                       link->written = true;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -951,5 +951,9 @@
 void Router::handle(Micros now, const Event& event, std::vector<Action>& actions) {
   state_->Handle(now, event, actions);
 }
+bool Router::avoids(Micros now, ServerId server) const {
+  const Server* s = state_->Find(server);
+  return s && (!s->open || s->suspect || now < s->next_try);
+}
 
 }  // namespace tulipyoke
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -26,6 +26,7 @@
   EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
   EXPECT_EQ(c.memory_bytes, std::size_t{64} << 20);
   EXPECT_EQ(c.sockets, 256);
+  EXPECT_EQ(c.operators, "");  // no door unless one is asked for
   EXPECT_EQ(c.connect_timeout, 125'000);
   EXPECT_EQ(c.idle_close, 15'000'000);
   EXPECT_EQ(c.zones, (std::vector<std::string>{"a", "b"}));
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -241,6 +241,36 @@
   EXPECT_EQ(b.exchange.counters().overdue, 0u);
 }
 
+// Guards against figures that count probes, or ends before or without their answer.
+TEST(Exchange, FiguresCountEndsByClassAndAttemptsWrittenWhole) {
+  Bench b;
+  const RequestId first = b.Ask(kAnyRead);
+  b.Ask(kKeyedWrite);
+  ASSERT_EQ(b.attempts.size(), 2u);
+  b.exchange.Written(b.attempts[0].ticket);
+  if (!b.probes.empty()) b.exchange.Written(b.probes[0].ticket);
+  EXPECT_EQ(b.exchange.FiguresAt(b.now).in_progress, 2u);
+  b.End(b.attempts[0].ticket, {.status = Status::kOk});
+  b.exchange.Written(b.attempts[0].ticket);  // it is over
+  EXPECT_EQ(b.answers[first].size(), 1u);
+  b.exchange.CountTurnedAway(kAnyRead, Refused{});
+  b.exchange.CountTurnedAway(kAnyRead, Failed{});
+  const Figures figures = b.exchange.FiguresAt(b.now);
+  EXPECT_EQ(figures.classes[kAnyRead].second.passed, 1u);
+  EXPECT_EQ(figures.classes[kAnyRead].second.dropped, 1u);
+  EXPECT_EQ(figures.classes[kAnyRead].second.bad_gateway, 1u);
+  EXPECT_EQ(figures.classes[kKeyedWrite].second.passed, 0u);
+  EXPECT_EQ(figures.upstream_tries, 1u);
+  EXPECT_EQ(figures.in_progress, 1u);
+  EXPECT_EQ(figures.known_servers, 3u);
+  EXPECT_EQ(figures.skipped_servers, 0u);
+  ListedServer q = Bench::Listed("q");
+  q.state = ServerState::kDraining;
+  b.exchange.Heard(b.now, {8, false, {q}});
+  EXPECT_EQ(b.exchange.FiguresAt(b.now).known_servers, 3u);
+  EXPECT_EQ(b.exchange.FiguresAt(b.now).skipped_servers, 1u);
+}
+
 TEST(Counters, AreNamed) {
   ExchangeCounters c;
   c.taken = 3;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -147,8 +147,8 @@
                  R"(","host_port":"127.0.0.1:)" + std::to_string(port) + R"(","phase":"in_service"})";
     }
     Config config = ParseConfig(
-        R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(discovery) +
-        R"(","limits":{"memory_mb":64,"sockets":)" + std::to_string(sockets) +
+        R"({"name":"n","listen":"127.0.0.1:0","operator":"127.0.0.1:0","discovery":"127.0.0.1:)" +
+        std::to_string(discovery) + R"(","limits":{"memory_mb":64,"sockets":)" + std::to_string(sockets) +
         R"(},"known":{"revision":1,"complete":true,"members":[)" + members +
         R"(]},"settings":{"services":[{"name":"any","aim":20000000,"deadline":20000000,"semantics":"free"}],
            "domain":{"freshness":["loose"]},
@@ -167,6 +167,23 @@
     socket.connect(Loopback(node_->port()));
     return Peer(std::move(socket), false);
   }
+  tcp::socket CallDoor(const std::string& bytes) {
+    tcp::socket socket(io_);
+    socket.connect(Loopback(node_->door_port()));
+    asio::write(socket, asio::buffer(bytes));
+    return socket;
+  }
+  // The whole answer to one call.
+  std::string Call(const std::string& bytes) {
+    tcp::socket socket = CallDoor(bytes);
+    std::string answer;
+    std::error_code end;
+    asio::read(socket, asio::dynamic_buffer(answer), end);
+    return answer;
+  }
+  std::string Call(const std::string& method, const std::string& path) {
+    return Call(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
   Peer Session() {
     Peer peer = Connect();
     std::string hello;
@@ -480,6 +497,77 @@
   EXPECT_EQ(after.asked(), "GET /registry/instances?follow=1&since=0");
 }
 
+// Guards against figures that are not what went out, and calls that are guessed at.
+TEST(Node, TheDoorShowsTheFiguresAndRefusesWhatIsNoCall) {
+  ScriptedServer server([](const std::string& query) {
+    return query.find("id=2") == std::string::npos ? Row("v") : std::string(kShape.size(), '\xff');
+  });
+  Running node({server.port()});
+  Peer client = node.Session();
+  client.Write(Ask("1") + Ask("2") + Query("INSERT /* id=3,c=any,d=5 */"));
+  for (int i = 0; i < 3; ++i) client.UntilReady();
+  client.Write(
+      Query("INSERT INTO rows (handle, blob) VALUES ('k', '\\x00') RETURNING blob /* id=3,c=any,d=5 */"));
+  EXPECT_EQ(CodeOf(client.UntilReady()), "42601");
+  const std::string figures = node.Call("GET", "/control/counters");
+  EXPECT_TRUE(figures.starts_with("HTTP/1.1 200 OK\r\n")) << figures;
+  EXPECT_NE(figures.find("\r\n\r\npassed.any=1\ndropped.any=1\nbad_gateway.any=1\n"), std::string::npos)
+      << figures;
+  std::size_t sent = 0;
+  for (const std::string& query : server.queries()) sent += query.starts_with("SELECT blob") ? 1 : 0;
+  EXPECT_NE(
+      figures.find("upstream_tries=" + std::to_string(sent) + "\nin_progress=0\nknown_readings_servers=1\n"),
+      std::string::npos)
+      << figures;
+  EXPECT_TRUE(node.Call("GET", "/control/nothing").starts_with("HTTP/1.1 404 "));
+  const std::string wrong = node.Call("GET", "/control/in-service");
+  EXPECT_TRUE(wrong.starts_with("HTTP/1.1 405 "));
+  EXPECT_NE(wrong.find("Allow: POST\r\n"), std::string::npos);
+  EXPECT_TRUE(node.Call("garbage\r\n\r\n").starts_with("HTTP/1.1 400 "));
+}
+
+// Guards against callers that say nothing keeping an operator out.
+TEST(Node, SilentCallersDelayNobodyAtTheDoor) {
+  Running node({1});
+  std::vector<tcp::socket> silent;
+  for (int i = 0; i < 40; ++i) silent.push_back(node.CallDoor(i % 2 ? "" : "GET /control/re"));
+  EXPECT_TRUE(node.Call("GET", "/control/ready").starts_with("HTTP/1.1 200 "));
+}
+
+// Guards against a router that cannot be emptied, that cuts off what it has taken, or that stays empty.
+TEST(Node, OutOfServiceItSaysNoAndClosesBehindEachAnswer) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string&) {
+    const std::lock_guard wait(gate);
+    return Row("v");
+  });
+  Running node({server.port()});
+  Peer busy = node.Session();
+  Peer idle = node.Session();
+  busy.Write(Ask("1"));
+  while (server.queries().empty()) std::this_thread::yield();
+  EXPECT_TRUE(node.Call("POST", "/control/out-of-service").starts_with("HTTP/1.1 200 "));
+  EXPECT_TRUE(node.Call("GET", "/control/ready").starts_with("HTTP/1.1 503 "));
+  Peer front = node.Session();
+  front.Write(Query(""));
+  EXPECT_EQ(CodeOf(front.UntilReady()), "57P03");
+  Peer late = node.Session();
+  late.Write(Ask("2"));
+  EXPECT_EQ(idle.Next().first, '\0');
+  gate.unlock();
+  for (Peer* taken : {&busy, &late}) {
+    EXPECT_EQ(taken->UntilReady()[0].first, 'T');
+    EXPECT_EQ(taken->Next().first, '\0');
+  }
+  EXPECT_TRUE(node.Call("POST", "/control/in-service").starts_with("HTTP/1.1 200 "));
+  EXPECT_TRUE(node.Call("GET", "/control/ready").starts_with("HTTP/1.1 200 "));
+  Peer again = node.Session();
+  again.Write(Query("") + Ask("3") + Ask("4"));
+  EXPECT_EQ(again.UntilReady()[0].first, 'I');
+  for (int i = 0; i < 2; ++i) EXPECT_EQ(again.UntilReady()[0].first, 'T');
+}
+
 // Guards against losing what was taken before a planned restart.
 TEST(Node, AStopFinishesWhatWasTaken) {
   std::mutex gate;
@@ -539,7 +627,8 @@
   asio::io_context io;
   LoopClock clock;
   Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
-  ClientFront front(io, clock, exchange, {Loopback(0), 100, 4, 1 << 20});
+  const Service service;
+  ClientFront front(io, clock, exchange, service, {Loopback(0), 100, 4, 1 << 20});
   std::vector<tcp::socket> clients;
   for (int i = 0; i < 8; ++i) clients.emplace_back(io).connect(Loopback(front.port()));
   while (front.counters().accepted < 8) {
