Upgrade without a gap: adopt the held listener and pass sessions between both processes

Lines at fault: ClientFront's constructor always bound a socket of its own; nothing told a second process what the first one had answered.

--- a/include/tulipyoke/router.hpp
+++ b/include/tulipyoke/router.hpp
@@ -147,8 +147,25 @@
   int from = 0;
   std::string bytes;
 };
+// What another process of this router, which takes over from this one or is taken over, has been told.
+struct SessionWrote {
+  std::uint64_t key = 0;  // 0: whatever sessions of the group are not named
+  int group = 0;
+  std::int64_t position_ms = 0;
+};
+struct ServerShown {
+  ServerId server = 0;
+  Role role = Role::kUnknown;
+  Micros role_time = 0;
+  std::int64_t position_ms = 0;  // not after the origin: none
+};
+// False: writes of sessions may have been answered that are not told yet. True again: all are known, or, with
+// `lost`, never will be.
+struct SessionsKnown {
+  bool known = true, lost = false;
+};
 using Event = std::variant<RequestArrived, AttemptEnded, AnswerBegun, ProbeEnded, ListNews, TimerFired,
-                           RequestGone, PeerMessage>;
+                           RequestGone, PeerMessage, SessionWrote, ServerShown, SessionsKnown>;
 
 // Actions.
 struct Send {
@@ -204,6 +221,9 @@
   void handle(Micros now, const Event& event, std::vector<Action>& actions);
   // Whether it now passes over a server that it knows: it drains, is suspect or is left alone for a while.
   bool avoids(Micros now, ServerId server) const;
+  // What it knows of that session's writes, or with 0 of all of them.
+  std::vector<SessionWrote> sessions(std::uint64_t key) const;
+  ServerShown shown(ServerId server) const;
 
  private:
   struct State;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -119,6 +119,15 @@
   prevail("LB_LISTEN", config.listen);
   prevail("LB_DISCOVERY", config.discovery);
   prevail("LB_OPERATOR", config.operators);
+  std::string held;
+  prevail("LB_ACCEPT_FD", held);
+  prevail("TMPDIR", config.temporary);
+  if (!held.empty()) {
+    const auto [end, error] = std::from_chars(held.data(), held.data() + held.size(), config.accept_fd);
+    if (error != std::errc() || end != held.data() + held.size() || config.accept_fd < 0) {
+      throw std::runtime_error("LB_ACCEPT_FD is no descriptor: " + held);
+    }
+  }
   SplitAddress(config.listen);
   SplitAddress(config.discovery);
   if (!config.operators.empty()) SplitAddress(config.operators);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -19,6 +19,8 @@
   std::uint64_t seed = 0;
   std::size_t memory_bytes = 0;
   int sockets = 0;
+  int accept_fd = -1;     // the clients' listening socket where the platform holds it; -1: it does not
+  std::string temporary;  // a folder that all processes of this router share; empty: none is known
   Listing known;
   Settings settings;
   std::vector<std::string> zones, kinds;
@@ -29,7 +31,7 @@
 // Throws std::runtime_error in plain words.
 Config ParseConfig(std::string_view text);
 // Reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_OPERATOR prevail where they
-// are set.
+// are set, and LB_ACCEPT_FD and TMPDIR are told nowhere else.
 Config LoadConfig();
 // Reads that file anew while the program runs. The variables are as old as the program, so that the file's
 // word stands alone.
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -77,7 +77,7 @@
 RequestId Exchange::Submit(Micros now, const ClientRequest& request) {
   const RequestId id = next_request_++;
   const Micros deadline = std::max(now, std::min(now + request.wait, end_by_));
-  requests_[id] = {request.class_index, 0, deadline, request.payload, kNoLimit};
+  requests_[id] = {request.class_index, 0, deadline, request.key, request.payload, kNoLimit};
   ++counters_.taken;
   // Should the module ever leave a request unanswered, the client still gets its answer inside the slack.
   Schedule(deadline + options_.settings.answer_slack / 2, DueKind::kOverdue, id);
@@ -209,9 +209,61 @@
       request != requests_.end() && !NeverRan(outcome.status)) {
     request->second.may_have_run = std::min(request->second.may_have_run, out.sent);
   }
+  const bool wrote = freshness == Freshness::kWrite && outcome.status == Status::kOk;
   if (outcome.status == Status::kOk) Give(out.request, Served{std::move(outcome.served)});
   event.over = !requests_.contains(out.request);
   Pass(now, std::move(event));
+  if (tells_) TellOutcome(out, outcome, wrote);
+}
+
+// Before the answer that this outcome ends in: by the time that the client asks again, the other process
+// knows.
+void Exchange::TellOutcome(const Out& out, const Outcome& outcome, bool wrote) {
+  const auto tell = [&](auto news) { commands_.insert(commands_.begin(), TellPartners{std::move(news)}); };
+  if (wrote && out.key != 0) {
+    for (const SessionWrote& session : router_.sessions(out.key)) tell(NewsOf(session));
+  }
+  if (outcome.role == Role::kUnknown) return;
+  for (auto& [id, known] : servers_) {
+    if (known.server != out.server || known.told == outcome.role) continue;
+    known.told = outcome.role;
+    tell(NewsOf(id, known.server));
+  }
+}
+
+SessionNews Exchange::NewsOf(const SessionWrote& wrote) const {
+  const Micros commit = wrote.position_ms * 1000 + options_.settings.origin;
+  return {wrote.key, wrote.group, (commit + 999) / 1000};
+}
+
+ServerNews Exchange::NewsOf(const std::string& id, ServerId server) const {
+  const ServerShown shown = router_.shown(server);
+  const Micros position = shown.position_ms * 1000 + options_.settings.origin;
+  return {id, shown.role, shown.role_time, shown.position_ms > 0 ? position / 1000 : 0};
+}
+
+std::vector<SessionNews> Exchange::Sessions() const {
+  std::vector<SessionNews> all;
+  for (const SessionWrote& session : router_.sessions(0)) all.push_back(NewsOf(session));
+  return all;
+}
+
+std::vector<ServerNews> Exchange::Shown() const {
+  std::vector<ServerNews> all;
+  for (const auto& [id, known] : servers_) all.push_back(NewsOf(id, known.server));
+  return all;
+}
+
+void Exchange::Learn(Micros now, const SessionNews& news) {
+  const Micros commit = news.commit_unix_ms * 1000 - options_.settings.origin;
+  Pass(now, SessionWrote{news.key, news.group, (std::max<Micros>(commit, 0) + 999) / 1000});
+}
+
+void Exchange::Learn(Micros now, const ServerNews& news) {
+  const auto known = servers_.find(news.id);
+  if (known == servers_.end()) return;
+  const Micros position = news.position_unix_ms * 1000 - options_.settings.origin;
+  Pass(now, ServerShown{known->second.server, news.role, news.heard, std::max<Micros>(position, 0) / 1000});
 }
 
 // The only place from which a final answer goes out: the first one ends the request.
@@ -319,7 +371,7 @@
   const Micros start_by = StartBy(action.id, request);
   const Ticket ticket = next_ticket_++;
   const int attempt = request.sends++;
-  out_[ticket] = {false, action.id, attempt, request.class_index, action.server, now};
+  out_[ticket] = {false, action.id, attempt, request.class_index, action.server, now, request.key};
   attempts_[{action.id, attempt}] = ticket;
   ++counters_.attempts;
   const Micros give_up =
@@ -359,7 +411,7 @@
 
 void Exchange::Do(Micros now, const Probe& action) {
   const Ticket ticket = next_ticket_++;
-  out_[ticket] = {true, 0, 0, 0, action.server, now};
+  out_[ticket] = {true, 0, 0, 0, action.server, now, 0};
   ++counters_.probes;
   Schedule(now + options_.probe_timeout, DueKind::kTicket, ticket);
   commands_.push_back(StartProbe{ticket, action.server});
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -86,11 +86,26 @@
   Answer answer;
 };
 struct RefreshList {};
+// For the other processes of this router, if there are any: before the answer behind it goes out.
+struct SessionNews {
+  std::uint64_t key = 0;  // 0: whatever sessions of the group are not named
+  int group = 0;
+  std::int64_t commit_unix_ms = 0;
+};
+struct ServerNews {
+  std::string id;
+  Role role = Role::kUnknown;
+  Micros heard = 0;
+  std::int64_t position_unix_ms = 0;  // 0: none
+};
+struct TellPartners {
+  std::variant<SessionNews, ServerNews> news;
+};
 struct WriteLog {
   std::string text;
 };
 using Command = std::variant<StartAttempt, StartProbe, EndTicket, SetAddress, ForgetServer,
-                             CloseIdleConnections, AnswerRequest, RefreshList, WriteLog>;
+                             CloseIdleConnections, AnswerRequest, RefreshList, TellPartners, WriteLog>;
 
 inline constexpr std::size_t kStatuses = 9;
 
@@ -138,6 +153,14 @@
   void Heard(Micros now, const Listing& listing);
   // Every request, also one that is taken later, has its final answer by then.
   void EndBy(Micros when);
+  // While another process of this router serves beside this one: what it must know, and what it tells. Until
+  // its sessions are known here, or for good once they cannot be told any more, none is taken for unwritten.
+  void TellOthers(bool on) { tells_ = on; }
+  std::vector<SessionNews> Sessions() const;
+  std::vector<ServerNews> Shown() const;
+  void Learn(Micros now, const SessionNews& news);
+  void Learn(Micros now, const ServerNews& news);
+  void SessionsAre(Micros now, SessionsKnown known) { Pass(now, known); }
   // Runs what has come due.
   void Tick(Micros now);
   std::optional<Micros> NextDue() const;
@@ -152,6 +175,7 @@
   struct Request {
     int class_index = 0, sends = 0;
     Micros deadline = 0;
+    std::uint64_t key = 0;
     std::shared_ptr<const Payload> payload;
     Micros may_have_run = kNoLimit;  // send of the first attempt that did or may have
   };
@@ -161,6 +185,7 @@
     int attempt = 0, class_index = 0;
     ServerId server = 0;
     Micros sent = 0;
+    std::uint64_t key = 0;
   };
   // At the same moment an attempt's end comes before the module's timers, and these before the last guard.
   enum class DueKind { kTicket, kTimer, kOverdue };
@@ -172,6 +197,9 @@
   };
 
   void Pass(Micros now, Event event);
+  SessionNews NewsOf(const SessionWrote& wrote) const;
+  ServerNews NewsOf(const std::string& id, ServerId server) const;
+  void TellOutcome(const Out& out, const Outcome& outcome, bool wrote);
   void Schedule(Micros when, DueKind kind, std::uint64_t id);
   void EndOut(Micros now, Ticket ticket, Outcome outcome);
   void Give(RequestId id, Answer answer);
@@ -202,7 +230,7 @@
   std::uint64_t written_ = 0;
   std::vector<Command> commands_;
   std::deque<Event> events_;
-  bool passing_ = false;
+  bool passing_ = false, tells_ = false;
   RequestId next_request_ = 1;
   Ticket next_ticket_ = 1;
   Micros end_by_ = kNoLimit;
@@ -215,6 +243,7 @@
   struct Known {
     ServerId server = 0;
     std::string address;
+    Role told = Role::kUnknown;  // the role that the other processes were told last
   };
   std::map<std::string, Known> servers_;
   ServerId next_server_ = 1;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -1,7 +1,11 @@
 #include "src/net/front.hpp"
 
+#include <fcntl.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <stdexcept>
@@ -40,6 +44,9 @@
 constexpr std::size_t kMostDiscarded = std::size_t{64} << 10;
 // Idle clients closed for one new one at most: more than one, so that their number falls again after a rush.
 constexpr int kShedAtOnce = 2;
+// While there is room, only those go that were idle for so long: one that has just had its answer is about to
+// be asked on again, and that request would cross its close.
+constexpr Micros kSurelyIdle = 200'000;
 // Candidates looked at closely when a place is wanted.
 constexpr int kShedTries = 4;
 // Clients beyond the limit that are still being told so; any more are told and closed in one go.
@@ -92,10 +99,17 @@
       accept_pause_(io),
       sweep_(io) {
   try {
-    acceptor_.open(options.listen.protocol());
-    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    acceptor_.bind(options.listen);
-    acceptor_.listen(asio::socket_base::max_listen_connections);
+    if (options.accept_fd >= 0) {
+      // Programs that this one may start have no business with it. It is never shut down: others share it.
+      ::fcntl(options.accept_fd, F_SETFD, FD_CLOEXEC);
+      acceptor_.assign(options.listen.protocol(), options.accept_fd);
+      acceptor_.local_endpoint();
+    } else {
+      acceptor_.open(options.listen.protocol());
+      acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+      acceptor_.bind(options.listen);
+      acceptor_.listen(asio::socket_base::max_listen_connections);
+    }
     acceptor_.non_blocking(true);
   } catch (const std::system_error& error) {
     throw std::runtime_error("cannot listen on port " + std::to_string(options.listen.port()) + " of " +
@@ -106,19 +120,35 @@
     classes_.try_emplace(c.name, static_cast<int>(classes_.size()));
   for (const TenantSettings& t : settings.tenants)
     tenants_.try_emplace(t.name, static_cast<int>(tenants_.size()));
-  Accept();
   ArmSweep();
 }
 
 ClientFront::~ClientFront() = default;
 
+void ClientFront::StartAccepting() {
+  if (accepting_) return;
+  accepting_ = true;
+  Accept();
+}
+
+void ClientFront::PauseAccepting() {
+  accepting_ = false;
+  std::error_code ignored;
+  accept_pause_.cancel();
+  acceptor_.cancel(ignored);
+}
+
+void ClientFront::Resize(const FrontLimits& limits) {
+  options_.limits = limits;
+  while (clients_.size() > limits.most_clients && ShedIdle()) {
+  }
+}
+
 void ClientFront::Accept() {
   acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
-    if (!error) {
-      Admit(std::move(socket));
-      return Accept();
-    }
+    if (!error) Admit(std::move(socket));
+    if (!accepting_ || error == asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (!error) return Accept();
     // Out of descriptors or memory: make room and try again shortly.
     ++counters_.accept_errors;
     const bool gone_already = error == asio::error::connection_aborted;
@@ -136,10 +166,12 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   // Clients may hold but a part of the descriptors for their requests. Where each asks on a connection of its
   // own and keeps it, those that are idle must go before that part is used up, or nobody can ask any more.
-  for (int shed = 0; shed < kShedAtOnce && clients_.size() >= options_.kept_clients && ShedIdle(); ++shed) {
+  for (int shed = 0;
+       shed < kShedAtOnce && clients_.size() >= options_.limits.kept_clients && ShedIdle(kSurelyIdle);
+       ++shed) {
   }
-  const bool room = clients_.size() < options_.most_clients || ShedIdle();
-  if (!room && clients_.size() >= options_.most_clients + kMostTurnedAway) {
+  const bool room = clients_.size() < options_.limits.most_clients || ShedIdle();
+  if (!room && clients_.size() >= options_.limits.most_clients + kMostTurnedAway) {
     ++counters_.turned_away;
     std::string out;
     pg::AppendError(out, "FATAL", "53300", kTooMany);
@@ -185,11 +217,7 @@
          client->request == 0 && !client->ending && !client->closed && client->unsent() < kMostUnsent;
          ++handled) {
       if (handled == kMessagesATurn) {
-        client->queued = true;
-        asio::post(io_, [this, client] {
-          client->queued = false;
-          if (!client->closed) Process(client);
-        });
+        ProcessLater(client);
         break;
       }
       const std::optional<pg::Message> message = client->reader.Next();
@@ -206,23 +234,35 @@
     EndWith(client, "08P01", error.what());
   }
   if (client->closed) return;
+  const bool held_back = client->unsent() >= kMostUnsent;
   const std::size_t buffered = client->ending ? 0 : client->reader.buffered();
   buffered_ += buffered - client->counted;
   client->counted = buffered;
-  const bool crowded = buffered_ > options_.most_buffered && buffered > kReadSize;
+  const bool crowded = buffered_ > options_.limits.most_buffered && buffered > kReadSize;
   if (crowded && client->request == 0 && !client->ending) {
     ++counters_.turned_away;
     EndWith(client, "53300", "too much is waiting to be read");
   }
-  Write(client);
-  if (client->closed) return;
   // Nothing but its answer stands before its close, so that no next request crosses it.
   if (service_.leaving() && client->asked && Idle(*client)) return Finish(client);
+  Write(client);
+  if (client->closed) return;
+  // What it was not asked for while answers were unsent.
+  if (held_back && client->unsent() < kMostUnsent && client->reader.buffered() > 0) ProcessLater(client);
   const bool held_up = client->unsent() >= kMostUnsent || crowded || client->reader.buffered() >= kReadAhead;
   // A whole message may be larger than what is read ahead.
   if (!held_up || (client->request == 0 && client->unsent() < kMostUnsent)) Read(client);
 }
 
+void ClientFront::ProcessLater(const ClientPtr& client) {
+  if (client->queued) return;
+  client->queued = true;
+  asio::post(io_, [this, client] {
+    client->queued = false;
+    if (!client->closed) Process(client);
+  });
+}
+
 void ClientFront::OnStartup(const ClientPtr& client, std::string_view body) {
   switch (pg::ParseStartup(body)) {
     case pg::StartupKind::kEncryption:
@@ -279,7 +319,7 @@
   };
   switch (pg::HousekeepingOf(text)) {
     case pg::Housekeeping::kEmpty:
-      if (!service_.ready()) return EndWith(client, "57P03", "out of service");
+      if (!service_.welcomes()) return EndWith(client, "57P03", "out of service");
       pg::AppendMessage(client->out, 'I', {});
       return pg::AppendReady(client->out);
     case pg::Housekeeping::kSet:
@@ -308,7 +348,7 @@
     return EndWith(client, "57P03", "out of service: trying again is harmless",
                    std::to_string(kElsewhereRetryMs));
   }
-  if (carried_ + text.size() > options_.most_buffered) {
+  if (carried_ + text.size() > options_.limits.most_buffered) {
     ++counters_.turned_away;
     exchange_.CountTurnedAway(class_index, Refused{});
     pg::AppendError(client->out, "ERROR", "53300", "too much is under way", std::to_string(kCrowdedRetryMs));
@@ -330,6 +370,7 @@
       std::make_shared<const Payload>(Payload{std::string(text), statement->wait_at, statement->wait_size});
   client->carried = text.size();
   carried_ += client->carried;
+  options_.before_request();
   client->request = exchange_.Submit(clock_.Now(), request);
   asking_[client->request] = client;
 }
@@ -377,8 +418,18 @@
   carried_ -= std::exchange(client->carried, 0);
 }
 
+// At once, as far as the socket takes it. The last words leave in one piece with the end of the stream: a
+// client that had them first could ask again in between.
 void ClientFront::Write(const ClientPtr& client) {
   if (client->writing || client->closed) return;
+  if (!client->out.empty()) {
+    const int flags = MSG_DONTWAIT | MSG_NOSIGNAL | (client->ending ? MSG_MORE : 0);
+    const ssize_t sent =
+        ::send(client->socket.native_handle(), client->out.data(), client->out.size(), flags);
+    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) return Close(client);
+    if (sent > 0) client->last_active = clock_.Now();
+    client->out.erase(0, static_cast<std::size_t>(std::max<ssize_t>(sent, 0)));
+  }
   if (client->out.empty()) {
     if (client->ending && !client->finished) Finish(client);
     return;
@@ -436,7 +487,7 @@
 // Those that never asked anything though they had time to go first, then whoever has been idle longest. One
 // that has only just connected is about to ask: shed for the next one, it would come back, and so would that
 // one.
-bool ClientFront::ShedIdle() {
+bool ClientFront::ShedIdle(Micros least_idle) {
   const Micros now = clock_.Now();
   const auto rank = [now](const ClientPtr& client) {
     const bool mute = !client->asked && now - client->connected > kTimeToAsk;
@@ -446,6 +497,7 @@
   std::vector<ClientPtr> oldest;
   for (const ClientPtr& client : clients_) {
     if (client->request != 0 || client->writing || client->ending || client->reader.buffered() > 0) continue;
+    if (now - client->last_active < least_idle) continue;
     if (oldest.size() == kShedTries && !before(client, oldest.back())) continue;
     oldest.insert(std::upper_bound(oldest.begin(), oldest.end(), client, before), client);
     if (oldest.size() > kShedTries) oldest.pop_back();
@@ -469,6 +521,7 @@
 }
 
 void ClientFront::StopAccepting() {
+  accepting_ = false;
   while (acceptor_.is_open()) {
     std::error_code error;
     asio::ip::tcp::socket socket = acceptor_.accept(error);
@@ -490,7 +543,7 @@
 }
 
 void ClientFront::Sweep() {
-  const Micros patience = 3 * clients_.size() > options_.most_clients ? kIdleCrowded : kIdle;
+  const Micros patience = 3 * clients_.size() > options_.limits.most_clients ? kIdleCrowded : kIdle;
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) {
     const Micros now = clock_.Now();
@@ -503,7 +556,7 @@
     if (client->ending || client->request != 0 || client->queued || client->writing) continue;
     // One that has only just connected is about to ask.
     const bool new_here = !client->asked && now - client->connected <= kTimeToAsk;
-    if (service_.ReleasesIdle(now) && !new_here && Idle(*client)) {
+    if (service_.ReleasesIdle(now, client->last_active) && !new_here && Idle(*client)) {
       Finish(client);
       continue;
     }
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,13 +20,20 @@
 
 namespace tulipyoke::net {
 
-struct FrontOptions {
-  asio::ip::tcp::endpoint listen;
+struct FrontLimits {
   std::size_t most_clients = 0;
   std::size_t kept_clients = 0;   // from so many on each new one takes the place of an idle one
   std::size_t most_buffered = 0;  // bytes of all clients together: unread ones, and as many under way
 };
 
+struct FrontOptions {
+  asio::ip::tcp::endpoint listen;
+  FrontLimits limits;
+  int accept_fd = -1;  // a listening socket that is held for all processes of this router
+  // Called before each request is handed in: another process may have told something that it depends on.
+  std::function<void()> before_request = [] {};
+};
+
 struct FrontCounters {
   std::uint64_t accepted = 0, turned_away = 0, shed = 0, idle = 0, silent = 0;
   std::uint64_t malformed = 0, accept_errors = 0;
@@ -39,10 +47,15 @@
   ~ClientFront();
 
   void Deliver(RequestId id, const Answer& answer);
+  void StartAccepting();
+  // What has connected and was not taken in is left to whoever shares the listening socket.
+  void PauseAccepting();
   // Takes in what has connected already and accepts nothing more.
   void StopAccepting();
+  void Resize(const FrontLimits& limits);
   void Stop();
-  bool ShedIdle();
+  // Closes an idle client, if there is one that has been idle for so long.
+  bool ShedIdle(Micros least_idle = 0);
 
   std::size_t clients() const { return clients_.size(); }
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
@@ -57,6 +70,7 @@
   void Admit(asio::ip::tcp::socket socket);
   void Read(const ClientPtr& client);
   void Process(const ClientPtr& client);
+  void ProcessLater(const ClientPtr& client);
   void OnStartup(const ClientPtr& client, std::string_view body);
   void OnMessage(const ClientPtr& client, char type, std::string_view body);
   void OnQuery(const ClientPtr& client, std::string_view text);
@@ -85,6 +99,7 @@
   std::unordered_map<RequestId, ClientPtr> asking_;
   std::unordered_set<std::string> open_ids_;
   ClassNames classes_, tenants_;
+  bool accepting_ = false;
   std::size_t buffered_ = 0, carried_ = 0;  // bytes not read as messages yet; statements under way
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -31,22 +31,47 @@
 constexpr Micros kLongestCounted = 3'000'000;
 constexpr Micros kAnswerMargin = 300'000;
 constexpr Micros kExitMargin = 150'000;
+// While two processes of this router run, each has this part of the descriptors and the memory.
+constexpr double kShareBeside = 0.5;
+// Connections to servers that the older process keeps beside one for each request, and how often it looks.
+constexpr std::size_t kServersSpare = 16;
+constexpr auto kShrinkEvery = std::chrono::milliseconds(50);
+// The older process tells all that it knows within milliseconds; one that hangs is not waited for.
+constexpr auto kSyncWait = std::chrono::milliseconds(1000);
 // Positions count from shortly before the start where the configuration's origin is not near the present:
 // counted on another clock, it says nothing of Unix time.
 constexpr Micros kOriginBeforeStart = 600'000'000;
 constexpr Micros kOldestOrigin = 86'400'000'000;
 
-std::size_t SocketBudget(int configured) {
+// What this process may hold where it has the whole of the configured number.
+int SocketsOf(int configured) {
   rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
-    return static_cast<std::size_t>(configured - kOwnDescriptors / 2);
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return configured;
   const auto wanted = static_cast<rlim_t>(configured);
   if (limit.rlim_cur < wanted) {
     limit.rlim_cur = limit.rlim_max == RLIM_INFINITY ? wanted : std::min(wanted, limit.rlim_max);
     if (setrlimit(RLIMIT_NOFILE, &limit) != 0) getrlimit(RLIMIT_NOFILE, &limit);
   }
-  const auto held = static_cast<int>(std::min<rlim_t>(limit.rlim_cur, wanted));
-  return static_cast<std::size_t>(std::max(held - kOwnDescriptors, held / 2));
+  return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, wanted));
+}
+
+struct Budget {
+  FrontLimits clients;
+  std::size_t servers = 0;
+};
+Budget BudgetOf(const Config& config, double share) {
+  const int held = static_cast<int>(share * SocketsOf(config.sockets));
+  const auto sockets = static_cast<double>(std::max(held - kOwnDescriptors, held / 2));
+  const auto most = static_cast<std::size_t>(kClientShare * sockets);
+  const auto kept = static_cast<std::size_t>(kKeptShare * config.sockets);
+  const auto bytes = static_cast<std::size_t>(share * static_cast<double>(config.memory_bytes));
+  return {{most, std::min(most, kept), bytes / kBufferedShare}, static_cast<std::size_t>(sockets) - most};
+}
+
+Micros LongestDeadline(const Settings& settings) {
+  Micros deadline = 0;
+  for (const ClassSettings& c : settings.classes) deadline = std::max(deadline, c.deadline);
+  return deadline;
 }
 
 ExchangeOptions OptionsOf(const Config& config, Micros now) {
@@ -58,16 +83,12 @@
 }
 
 PoolOptions PoolOptionsOf(const Config& config) {
-  const std::size_t budget = SocketBudget(config.sockets);
-  const auto clients = static_cast<std::size_t>(kClientShare * static_cast<double>(budget));
-  return {config.connect_timeout, config.idle_close, budget - clients};
+  return {config.connect_timeout, config.idle_close, BudgetOf(config, 1).servers};
 }
 
-FrontOptions FrontOptionsOf(const Config& config) {
-  const std::size_t budget = SocketBudget(config.sockets);
-  const auto most = static_cast<std::size_t>(kClientShare * static_cast<double>(budget));
-  const auto kept = static_cast<std::size_t>(kKeptShare * config.sockets);
-  return {ToEndpoint(config.listen), most, std::min(most, kept), config.memory_bytes / kBufferedShare};
+FrontOptions FrontOptionsOf(const Config& config, std::function<void()> before_request) {
+  return {ToEndpoint(config.listen), BudgetOf(config, 1).clients, config.accept_fd,
+          std::move(before_request)};
 }
 
 }  // namespace
@@ -77,10 +98,15 @@
       signals_(io_, SIGHUP, SIGTERM, SIGINT),
       exchange_(OptionsOf(config, clock_.Now())),
       pool_(io_, clock_, exchange_, PoolOptionsOf(config)),
-      front_(io_, clock_, exchange_, service_, FrontOptionsOf(config)),
+      front_(io_, clock_, exchange_, service_, FrontOptionsOf(config, [this] { handover_.Poll(); })),
       discovery_(io_, clock_, exchange_, config.discovery, config.known.version),
+      handover_(io_, config.accept_fd < 0 ? "" : config.temporary, config.name, config.seed,
+                HandoverEvents()),
       due_timer_(io_),
       stop_timer_(io_),
+      serve_timer_(io_),
+      sessions_timer_(io_),
+      shrink_timer_(io_),
       stop_plan_(PlanStop(config.settings)) {
   signals_.add(SIGUSR1);
   exchange_.Start(clock_.Now(), config.known);
@@ -89,8 +115,31 @@
         io_, ToEndpoint(config.operators),
         [this](const std::string& method, const std::string& path) { return AnswerOperator(method, path); });
   }
-  service_.Start();
   AwaitSignal();
+  if (!handover_.JoinOlder()) {
+    Serve();
+    return;
+  }
+  LogLine(config.name + " takes over from a running process");
+  Take(kShareBeside);
+  exchange_.TellOthers(true);
+  exchange_.SessionsAre(clock_.Now(), {.known = false});
+  serve_timer_.expires_after(kSyncWait);
+  serve_timer_.async_wait([this](std::error_code error) {
+    if (error || service_.state() != Service::State::kStarting) return;
+    handover_.Part(Handover::Partner::kOlder);
+    Serve();
+  });
+}
+
+void Node::Serve() {
+  if (service_.state() != Service::State::kStarting) return;
+  serve_timer_.cancel();
+  service_.Start();
+  front_.StartAccepting();
+  handover_.Step(Handover::Partner::kOlder, HandoverStep::kServing);
+  handover_.Offer();
+  const Config& config = config_;
   const std::string host = SplitAddress(config.listen).host;
   LogLine(config.name + " serves on " + host + ":" + std::to_string(front_.port()) + ", knows " +
           std::to_string(config.known.servers.size()) + " servers");
@@ -108,6 +157,80 @@
   PrintCounters();
 }
 
+Handover::Events Node::HandoverEvents() {
+  return {[this](Handover::Partner partner, HandoverStep step) { OnStep(partner, step); },
+          [this](const HandoverHolds& holds) {
+            const double sockets = config_.sockets;
+            Take(std::max(kShareBeside, (sockets - holds.descriptors) / sockets));
+          },
+          [this](const SessionNews& news) { exchange_.Learn(clock_.Now(), news); },
+          [this](const ServerNews& news) { exchange_.Learn(clock_.Now(), news); },
+          [this](Handover::Partner partner, bool done) { OnParted(partner, done); }};
+}
+
+void Node::OnStep(Handover::Partner partner, HandoverStep step) {
+  if (partner == Handover::Partner::kOlder) {
+    if (step != HandoverStep::kSynced) return;
+    exchange_.SessionsAre(clock_.Now(), {.known = true});
+    return Serve();
+  }
+  if (step == HandoverStep::kHello) {
+    // Room first: together both hold no more than one may.
+    LogLine("a newer process has come: half of the room is left to it");
+    Take(kShareBeside);
+    exchange_.TellOthers(true);
+    for (const ServerNews& news : exchange_.Shown()) handover_.TellNewer(news);
+    for (const SessionNews& news : exchange_.Sessions()) handover_.TellNewer(news);
+    handover_.Step(partner, HandoverStep::kSynced);
+  } else if (step == HandoverStep::kServing) {
+    LogLine("the newer process takes the clients: " + std::to_string(exchange_.live()) +
+            " requests are still out");
+    front_.PauseAccepting();
+    service_.HandOver(clock_.Now());
+    told_holds_ = config_.sockets;
+    Shrink();
+  }
+}
+
+void Node::Shrink() {
+  if (service_.state() != Service::State::kHandedOver) return;
+  pool_.Resize(exchange_.live() + kServersSpare);
+  const auto held = static_cast<int>(front_.clients() + pool_.connections()) + kOwnDescriptors;
+  if (held < told_holds_) handover_.TellNewer(HandoverHolds{told_holds_ = held});
+  shrink_timer_.expires_after(kShrinkEvery);
+  shrink_timer_.async_wait([this](std::error_code error) {
+    if (!error) Shrink();
+  });
+}
+
+// What a partner answered its clients without a word here may be read by nobody too early: until all of it
+// must have ended, and from then on for all sessions that are not known.
+void Node::OnParted(Handover::Partner partner, bool done) {
+  LogLine(std::string("the ") + (partner == Handover::Partner::kOlder ? "older" : "newer") + " process " +
+          (done ? "has ended" : "broke off"));
+  if (handover_.alone()) {
+    Take(1);
+    exchange_.TellOthers(false);
+  }
+  if (!done) {
+    exchange_.SessionsAre(clock_.Now(), {.known = false});
+    sessions_timer_.expires_after(std::chrono::microseconds(LongestDeadline(config_.settings)));
+    sessions_timer_.async_wait([this](std::error_code error) {
+      if (!error) exchange_.SessionsAre(clock_.Now(), {.known = true, .lost = true});
+    });
+  }
+  if (partner == Handover::Partner::kOlder) return Serve();
+  if (service_.state() != Service::State::kHandedOver) return;
+  service_.TakeBack(clock_.Now());
+  if (listening_ && !stop_asked_) front_.StartAccepting();
+}
+
+void Node::Take(double share) {
+  const Budget budget = BudgetOf(config_, share);
+  front_.Resize(budget.clients);
+  pool_.Resize(budget.servers);
+}
+
 void Node::EndTurn() {
   exchange_.Tick(clock_.Now());
   for (std::vector<Command> commands = exchange_.TakeCommands(); !commands.empty();
@@ -124,12 +247,14 @@
   }
   if (!stop_asked_) return;
   const Micros since = clock_.Now() - *stop_asked_;
-  if (service_.ReleasesIdle(clock_.Now()) && listening_) {
+  if (service_.WindowOver(clock_.Now()) && listening_) {
     listening_ = false;
-    front_.StopAccepting();
+    // What waits in a shared listening socket is the other process's.
+    if (service_.state() != Service::State::kHandedOver) front_.StopAccepting();
     LogLine("draining: " + std::to_string(exchange_.live()) + " requests are still out");
   }
   done_ = (!listening_ && front_.clients() == 0) || since >= stop_plan_.exit_by;
+  if (done_) handover_.Stop();
   if (!done_) {
     stop_timer_.expires_after(std::chrono::milliseconds(10));
     stop_timer_.async_wait([](std::error_code) {});
@@ -147,6 +272,9 @@
   if (const auto* idle = std::get_if<CloseIdleConnections>(&command)) return pool_.CloseIdle(idle->server);
   if (const auto* answer = std::get_if<AnswerRequest>(&command))
     return front_.Deliver(answer->id, answer->answer);
+  if (const auto* tell = std::get_if<TellPartners>(&command)) {
+    return std::visit([this](const auto& news) { handover_.Tell(news); }, tell->news);
+  }
   if (const auto* log = std::get_if<WriteLog>(&command)) return LogLine("decisions: " + log->text);
   discovery_.Refresh();
 }
@@ -166,9 +294,7 @@
 }
 
 StopPlan PlanStop(const Settings& settings) {
-  Micros deadline = 0;
-  for (const ClassSettings& c : settings.classes) deadline = std::max(deadline, c.deadline);
-  const Micros force = std::min(deadline, kLongestCounted) + kForceAfter;
+  const Micros force = std::min(LongestDeadline(settings), kLongestCounted) + kForceAfter;
   return {force - kAnswerMargin, force - kExitMargin};
 }
 
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -12,6 +12,7 @@
 #include "src/net/discovery.hpp"
 #include "src/net/door.hpp"
 #include "src/net/front.hpp"
+#include "src/net/handover.hpp"
 #include "src/net/pool.hpp"
 #include "src/net/service.hpp"
 
@@ -38,6 +39,15 @@
   void AwaitSignal();
   void Reload();
   void Stop();
+  // Takes clients from now on; the older process, if there is one, takes no more.
+  void Serve();
+  Handover::Events HandoverEvents();
+  void OnStep(Handover::Partner partner, HandoverStep step);
+  void OnParted(Handover::Partner partner, bool done);
+  // Gives up what it needs no more now that a newer process takes the clients.
+  void Shrink();
+  // The part of the descriptors and of the memory that is this process's.
+  void Take(double share);
   // What the operators' door says to a call.
   Reply AnswerOperator(const std::string& method, const std::string& path);
   void PrintCounters();
@@ -53,8 +63,10 @@
   ClientFront front_;
   DiscoveryWatch discovery_;
   std::optional<OperatorDoor> door_;
-  asio::steady_timer due_timer_, stop_timer_;
+  Handover handover_;
+  asio::steady_timer due_timer_, stop_timer_, serve_timer_, sessions_timer_, shrink_timer_;
   std::optional<Micros> armed_for_;
+  int told_holds_ = 0;
   std::optional<Micros> stop_asked_;
   StopPlan stop_plan_;
   bool listening_ = true, done_ = false;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -351,6 +351,12 @@
   for (const Link& link : std::vector<Link>(sites_[server].idle)) Close(link);
 }
 
+void ServerPool::Resize(std::size_t most_connections) {
+  options_.most_connections = most_connections;
+  while (connections_ > most_connections && ShedIdle()) {
+  }
+}
+
 bool ServerPool::ShedIdle() {
   Link oldest;
   for (const auto& [server, site] : sites_) {
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -43,6 +43,7 @@
   void CloseIdle(ServerId server);
   // Closes the connection that has been idle longest; false where none is.
   bool ShedIdle();
+  void Resize(std::size_t most_connections);
   void Stop();
 
   std::size_t connections() const { return connections_; }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -167,7 +167,7 @@
   double resends = 1;
   double probe_budget = kResendBurst;
   std::size_t tokens_kept = kTokensKept;
-  bool housekeeping_set = false;
+  bool housekeeping_set = false, sessions_known = true;
   Micros next_ask = 0, check_gap = 0, longest_aim = 0, longest_deadline = 0;
   Micros tightest_bound = kNever;
   int x0_field = kUnknown, x1_field = kUnknown, queue_field = kUnknown, inflight_field = kUnknown;
@@ -514,6 +514,7 @@
       } else {
         const Token* token = Lookup(tokens, e.key);
         r.token = token ? token->position : groups[e.group].token_floor;
+        if (!sessions_known) r.token = Position(now);
       }
     }
     resends = std::min(std::max(1.0, kResendBurst / settings.gateways), resends + kResendShare);
@@ -838,6 +839,25 @@
     Token& token = tokens[flight.key];
     token = {std::max(token.position, commit), s.group};
   }
+  // To the rules all processes of a router are one: what any of them was told, each must keep to.
+  void On(const SessionWrote& e) {
+    Token& token = tokens[e.key];
+    token = {std::max(token.position, e.position_ms * 1000), e.group};
+    if (e.key != 0) return;
+    Micros& floor = groups[e.group].token_floor;
+    floor = std::max(floor, token.position);
+    tokens.erase(0);
+  }
+  void On(const ServerShown& e) {
+    Server* s = Find(e.server);
+    if (!s) return;
+    HearRole(*s, e.role, e.role_time);
+    if (e.role != Role::kPrimary && e.position_ms > 0) ShowPosition(*s, e.position_ms * 1000, true);
+  }
+  void On(const SessionsKnown& e) {
+    sessions_known = e.known;
+    for (auto& [number, g] : groups) g.token_floor = e.lost ? Position(now) : g.token_floor;
+  }
   void AfterFailure(Request& r, const AttemptEnded& e, Micros sent) {
     const bool never_ran = NeverRan(e.status);
     if (!never_ran) {
@@ -955,5 +975,21 @@
   const Server* s = state_->Find(server);
   return s && (!s->open || s->suspect || now < s->next_try);
 }
+std::vector<SessionWrote> Router::sessions(std::uint64_t key) const {
+  const auto up = [](Micros position) { return (position + 999) / 1000; };
+  std::vector<SessionWrote> known;
+  const auto& tokens = state_->tokens;
+  const auto end = key == 0 ? tokens.end() : tokens.upper_bound(key);
+  for (auto it = tokens.lower_bound(key); it != end; ++it)
+    known.push_back({it->first, it->second.group, up(it->second.position)});
+  for (const auto& [number, g] : state_->groups) {
+    if (key == 0 && g.token_floor != kUnknown) known.push_back({0, number, up(g.token_floor)});
+  }
+  return known;
+}
+ServerShown Router::shown(ServerId server) const {
+  const Server* s = state_->Find(server);
+  return s ? ServerShown{server, s->role, s->role_time, s->position / 1000} : ServerShown{server};
+}
 
 }  // namespace tulipyoke
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -64,8 +64,8 @@
   service.TakeOut(9'000'000);  // a repeat moves nothing
   EXPECT_FALSE(service.ready());
   EXPECT_TRUE(service.leaving());
-  EXPECT_FALSE(service.ReleasesIdle(1'400'000));
-  EXPECT_TRUE(service.ReleasesIdle(1'500'000));
+  EXPECT_FALSE(service.ReleasesIdle(1'400'000, 0));
+  EXPECT_TRUE(service.ReleasesIdle(1'500'000, 1'400'000));
   EXPECT_FALSE(service.Refuses(2'600'000));
   EXPECT_TRUE(service.Refuses(2'700'000));
   EXPECT_TRUE(service.PutBack());
@@ -82,10 +82,30 @@
   service.TakeOut(2'000'000);
   EXPECT_FALSE(service.PutBack());
   EXPECT_FALSE(service.ready());
-  EXPECT_TRUE(service.ReleasesIdle(1'500'000));
+  EXPECT_TRUE(service.WindowOver(1'500'000));
   EXPECT_FALSE(service.Refuses(9'000'000));  // taken or not yet, what comes is still answered
 }
 
+// Guards against an upgrade in which the front takes the router for gone, or the older process comes back.
+TEST(Service, HandedOverItStillWelcomesAndMayTakeBackUnlessStopped) {
+  Service service;
+  service.Start();
+  service.HandOver(1'000'000);
+  EXPECT_FALSE(service.ready());
+  EXPECT_TRUE(service.welcomes());
+  EXPECT_TRUE(service.leaving());
+  EXPECT_FALSE(service.ReleasesIdle(2'000'000, 1'000'000));
+  EXPECT_TRUE(service.ReleasesIdle(2'600'000, 1'000'000));
+  service.TakeBack(3'000'000);
+  EXPECT_TRUE(service.ready());
+  service.HandOver(4'000'000);
+  service.Stop(5'000'000);
+  EXPECT_TRUE(service.welcomes());
+  service.TakeBack(6'000'000);
+  EXPECT_FALSE(service.welcomes());
+  EXPECT_FALSE(service.PutBack());
+}
+
 // Guards against a router that was taken out before it was ready, and serves all the same.
 TEST(Service, TakenOutBeforeItsStartItStaysOut) {
   Service service;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -224,6 +224,46 @@
   EXPECT_EQ(b.attempts.size(), 4u);
 }
 
+// Guards against a session's read in the one process that misses its write in the other: the write is told
+// before its answer goes out, and the read waits for it.
+TEST(Exchange, WhatOneProcessWroteTheOtherReads) {
+  Settings settings = TestSettings();
+  settings.origin = 1'767'225'000 * kSecond + 500;
+  Bench writer(settings), reader(settings);
+  const std::int64_t unix_ms = writer.now / 1000;
+  writer.exchange.TellOthers(true);
+  writer.Ask(kKeyedWrite);
+  ASSERT_EQ(writer.attempts.size(), 1u);
+  writer.exchange.Finished(writer.now, writer.attempts[0].ticket,
+                           {.role = Role::kPrimary, .position_unix_ms = unix_ms});
+  const std::vector<Command> commands = writer.exchange.TakeCommands();
+  std::vector<SessionNews> told;
+  bool answered = false;
+  for (const Command& command : commands) {
+    const auto* tell = std::get_if<TellPartners>(&command);
+    const auto* news = tell ? std::get_if<SessionNews>(&tell->news) : nullptr;
+    if (news) told.push_back(*news);
+    EXPECT_FALSE(news && answered);
+    answered = answered || std::holds_alternative<AnswerRequest>(command);
+  }
+  EXPECT_TRUE(answered);
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_GE(told[0].commit_unix_ms, unix_ms);
+  ASSERT_EQ(writer.exchange.Sessions().size(), 1u);
+  EXPECT_EQ(writer.exchange.Sessions()[0].key, told[0].key);
+  reader.exchange.Learn(reader.now, told[0]);
+  for (const char* id : {"q", "r"})
+    reader.exchange.Learn(reader.now, ServerNews{id, Role::kReplica, reader.now, unix_ms - 40});
+  EXPECT_EQ(reader.exchange.Shown()[1].position_unix_ms, unix_ms - 41);  // rounded down, twice
+  reader.Ask(kSessionRead);
+  EXPECT_TRUE(reader.attempts.empty());
+  reader.Pass(9 * kMs);
+  for (const char* id : {"q", "r"})
+    reader.exchange.Learn(reader.now, ServerNews{id, Role::kReplica, reader.now, unix_ms + 9});
+  reader.Pass(60 * kMs);
+  EXPECT_EQ(reader.attempts.size(), 1u);
+}
+
 // Guards against a planned end that leaves a request without its answer, taken before or after it was told.
 TEST(Exchange, AllIsAnsweredByAPlannedEnd) {
   Bench b;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -139,8 +140,10 @@
 // A node in a thread of its own, stopped by the signal that stops it in service.
 class Running {
  public:
-  explicit Running(const std::vector<std::uint16_t>& servers, int sockets = 256,
-                   std::uint16_t discovery = 1) {
+  using Adjust = std::function<void(Config&)>;
+  explicit Running(
+      const std::vector<std::uint16_t>& servers, int sockets = 256, std::uint16_t discovery = 1,
+      const Adjust& adjust = [](Config&) {}) {
     std::string members;
     for (const std::uint16_t port : servers) {
       members += (members.empty() ? "" : ",") + std::string(R"({"id":"s)") + std::to_string(port) +
@@ -153,6 +156,7 @@
         R"(]},"settings":{"services":[{"name":"any","aim":20000000,"deadline":20000000,"semantics":"free"}],
            "domain":{"freshness":["loose"]},
            "policy_limits":{"retry_after":true,"max_retry_after":500000}}})");
+    adjust(config);
     node_ = std::make_unique<Node>(config);
     thread_ = std::thread([this] { node_->Run(); });
   }
@@ -588,6 +592,49 @@
   EXPECT_EQ(busy.Next().first, '\0');
 }
 
+// Guards against an upgrade in which clients are turned back, or both processes take them, or neither.
+TEST(Node, ANewerProcessTakesTheClientsAndTheOlderOneFinishes) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string& query) {
+    if (query.find("id=slow") != std::string::npos) const std::lock_guard wait(gate);
+    return Row("v");
+  });
+  asio::io_context io;
+  tcp::acceptor held(io, Loopback(0));  // as the platform does
+  const std::string folder = testing::TempDir() + "tulipyoke_upgrade";
+  std::filesystem::create_directories(folder);
+  const auto beside = [&](Config& config) {
+    config.accept_fd = ::dup(held.native_handle());
+    config.temporary = folder;
+  };
+  Running older({server.port()}, 256, 1, beside);
+  EXPECT_TRUE(older.Call("GET", "/control/ready").starts_with("HTTP/1.1 200 "));
+  Peer busy = older.Session();
+  Peer kept = older.Session();
+  busy.Write(Ask("slow"));
+  while (server.queries().empty()) std::this_thread::yield();
+  Running newer({server.port()}, 256, 1, beside);
+  while (newer.Call("GET", "/control/ready").find(" 200 ") == std::string::npos) std::this_thread::yield();
+  while (older.Call("GET", "/control/ready").find(" 503 ") == std::string::npos) std::this_thread::yield();
+  for (int i = 0; i < 10; ++i) {
+    Peer client = older.Session();
+    client.Write(Ask(std::to_string(i)) + Query(""));
+    EXPECT_EQ(client.UntilReady()[0].first, 'T');
+    EXPECT_EQ(client.UntilReady()[0].first, 'I');
+  }
+  EXPECT_NE(newer.Call("GET", "/control/counters").find("passed.any=10\n"), std::string::npos);
+  kept.Write(Query(""));  // the router takes clients, in another process
+  EXPECT_EQ(kept.UntilReady()[0].first, 'I');
+  EXPECT_EQ(kept.Next().first, '\0');
+  gate.unlock();
+  EXPECT_EQ(busy.UntilReady()[0].first, 'T');
+  EXPECT_EQ(busy.Next().first, '\0');
+  newer.Stop();  // the signal reaches both
+  older.Stop();
+  std::filesystem::remove_all(folder);
+}
+
 // Guards against being killed with a request unanswered: a deadline over 3 s is not waited for.
 TEST(Node, AStopAnswersAllBeforeTheEndByForce) {
   Settings settings;
@@ -628,12 +675,18 @@
   LoopClock clock;
   Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
   const Service service;
-  ClientFront front(io, clock, exchange, service, {Loopback(0), 100, 4, 1 << 20});
+  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 4, 1 << 20}});
+  front.StartAccepting();
   std::vector<tcp::socket> clients;
-  for (int i = 0; i < 8; ++i) clients.emplace_back(io).connect(Loopback(front.port()));
-  while (front.counters().accepted < 8) {
-    clock.NewTurn();
-    io.run_one();
+  for (const unsigned wanted : {4u, 8u}) {
+    while (clients.size() < wanted) clients.emplace_back(io).connect(Loopback(front.port()));
+    while (front.counters().accepted < wanted) {
+      clock.NewTurn();
+      io.run_one();
+    }
+    if (wanted == 8) break;
+    EXPECT_EQ(front.counters().shed, 0u);
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));  // then they have surely been idle
   }
   EXPECT_EQ(front.clients(), 4u);
   EXPECT_EQ(front.counters().shed, 4u);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -42,6 +42,36 @@
   return scene.Take(e);
 }
 
+// ---- Processes of one router ----
+
+// Guards against a stale read while the writes of sessions are not known, or never will be.
+TEST(Processes, UnknownSessionsReadThePresent) {
+  Scene scene;
+  Settle(scene, 30 * kMs, 30 * kMs);
+  scene.Take(SessionsKnown{.known = false});
+  EXPECT_FALSE(SentTo(scene.Arrive(1, kSessionRead, 77), 1));
+  scene.Take(SessionsKnown{.known = true});
+  EXPECT_TRUE(SentTo(scene.Arrive(2, kSessionRead, 77), 2));
+  scene.Take(SessionsKnown{.known = false});
+  scene.Take(SessionsKnown{.known = true, .lost = true});
+  EXPECT_FALSE(SentTo(scene.Arrive(3, kSessionRead, 77), 3));
+}
+
+// Guards against a write of a session, or of all that are not named, that the other process told in vain.
+TEST(Processes, ToldWritesBindReads) {
+  Scene scene;
+  Settle(scene, 30 * kMs, 30 * kMs);
+  const std::int64_t present = scene.now_ms();
+  scene.Take(SessionWrote{77, 0, present - 10});
+  EXPECT_FALSE(SentTo(scene.Arrive(1, kSessionRead, 77), 1));
+  EXPECT_TRUE(SentTo(scene.Arrive(2, kSessionRead, 78), 2));
+  ASSERT_EQ(scene.router().sessions(77).size(), 1u);
+  EXPECT_EQ(scene.router().sessions(77)[0].position_ms, present - 10);
+  scene.Take(SessionWrote{0, 0, present - 10});
+  EXPECT_FALSE(SentTo(scene.Arrive(3, kSessionRead, 79), 3));
+  EXPECT_EQ(scene.router().sessions(0).size(), 2u);  // the session and the group's floor
+}
+
 // ---- Scoring ----
 
 TEST(Scoring, AnyReadSpreadsOverReplicasAtOnce) {
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -135,6 +135,7 @@
     e.position_ms = position_ms;
     return Take(e);
   }
+  const Router& router() const { return router_; }
   Micros now() const { return now_; }
   std::int64_t now_ms() const { return now_ / kMs; }
 
