Pass values over 64 KiB on as they come, with back-pressure, timed by their first bytes

Lines at fault: kLargestAnswer in src/net/pool.cpp, 80 KiB: MessageReader::Next threw at the head of a larger row, which closed the connection and cost another attempt, until one with a small value came or the time ran out.

Tests: large rows under random cuts, heads that lie, the bound of a transfer, its three ends against deadlines and a planned end, and on loopback 4 MiB to a slow reader, a break, and garbage behind a value. One of them was first too slow by itself (a receive buffer of 4 KiB) and is now 64 KiB.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -98,6 +98,15 @@
 }
 
 void Exchange::ClientLeft(Micros now, RequestId id) {
+  if (const auto running = running_.find(id); running != running_.end()) {
+    ++counters_.left;
+    if (const Ticket ticket = running->second.ticket; ticket != 0) {
+      begun_.erase(ticket);
+      commands_.push_back(EndTicket{ticket});
+    }
+    running_.erase(running);
+    return;
+  }
   if (requests_.erase(id) == 0) return;
   ++counters_.left;
   Pass(now, RequestGone{id});
@@ -114,7 +123,7 @@
     figures.classes.emplace_back(options_.settings.classes[i].name, ends_[i]);
   }
   figures.upstream_tries = written_;
-  figures.in_progress = requests_.size();
+  figures.in_progress = live();
   figures.known_servers = servers_.size();
   for (const auto& [id, known] : servers_)
     figures.skipped_servers += router_.avoids(now, known.server) ? 1 : 0;
@@ -122,9 +131,55 @@
 }
 
 void Exchange::Finished(Micros now, Ticket ticket, Outcome outcome) {
+  const auto begun = begun_.find(ticket);
+  if (begun != begun_.end()) return EndTransfer(now, begun->second, std::move(outcome));
   EndOut(now, ticket, std::move(outcome));
 }
 
+std::shared_ptr<Transfer> Exchange::Begin(Micros now, Ticket ticket, const std::string& shape,
+                                          std::size_t size) {
+  const auto found = out_.find(ticket);
+  if (found == out_.end()) return nullptr;
+  const Out out = found->second;
+  const bool wanted = !out.probe && requests_.erase(out.request) > 0;
+  if (wanted) {
+    const auto transfer = std::make_shared<Transfer>(shape, size);
+    running_[out.request] = {ticket, out, transfer};
+    begun_[ticket] = out.request;
+    commands_.push_back(AnswerRequest{out.request, Begun{transfer}});
+  }
+  // Its first bytes are what it is timed by. A write's commit, told behind the value, is taken to be of this
+  // moment: rounding up is safe.
+  EndOut(now, ticket, Outcome{});
+  return wanted ? running_.at(out.request).transfer : nullptr;
+}
+
+void Exchange::EndTransfer(Micros now, RequestId id, Outcome outcome) {
+  Running& running = running_.at(id);
+  begun_.erase(std::exchange(running.ticket, 0));
+  const Out out = running.out;
+  const std::shared_ptr<Transfer> transfer = running.transfer;
+  const bool ok = outcome.status == Status::kOk;
+  const Freshness freshness = options_.settings.classes[static_cast<std::size_t>(out.class_index)].freshness;
+  const bool wrote = ok && freshness == Freshness::kWrite;
+  const std::optional<std::int64_t> position = PositionMs(outcome, wrote);
+  Pass(now, ServerShown{out.server, outcome.role, now, wrote ? 0 : position.value_or(0)});
+  if (tells_) TellOutcome(out, outcome, wrote);
+  // This may end the client's side as well, and with it what is known of the transfer here.
+  if (ok) return transfer->Complete(std::move(outcome.served.tag));
+  transfer->Break();
+}
+
+void Exchange::Delivered(RequestId id) {
+  const auto it = running_.find(id);
+  if (it == running_.end()) return;
+  const bool whole = it->second.transfer->state() == Transfer::State::kWhole;
+  ++(whole ? counters_.served : counters_.failed);
+  CountEnd(it->second.out.class_index, whole ? Answer(Served{}) : Answer(Failed{}));
+  if (const Ticket ticket = it->second.ticket; ticket != 0) begun_.erase(ticket);
+  running_.erase(it);
+}
+
 void Exchange::Heard(Micros now, const Listing& listing) {
   ++counters_.lists;
   Pass(now, NewsOf(listing, listing.complete ? ListKind::kFull : ListKind::kDelta));
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -22,6 +22,7 @@
 
 #include "src/exchange/listing.hpp"
 #include "src/exchange/outcome.hpp"
+#include "src/exchange/transfer.hpp"
 #include "tulipyoke/router.hpp"
 
 namespace tulipyoke {
@@ -50,7 +51,10 @@
   Micros retry_after = 0;  // 0: no advice
 };
 struct Failed {};
-using Answer = std::variant<Served, Refused, Failed>;
+struct Begun {  // served, as far as it comes: the front says by Delivered when it is through
+  std::shared_ptr<Transfer> transfer;
+};
+using Answer = std::variant<Served, Refused, Failed, Begun>;
 
 // One attempt or probe, from its start to its outcome.
 using Ticket = std::uint64_t;
@@ -151,6 +155,11 @@
   // A ticket that is no longer out is passed over.
   void Finished(Micros now, Ticket ticket, Outcome outcome);
   void Heard(Micros now, const Listing& listing);
+  // A large value has begun to come for that attempt: it serves the request from here on, whatever becomes of
+  // it, and no deadline ends it. Finished tells its end. Null: nobody waits for it any more.
+  std::shared_ptr<Transfer> Begin(Micros now, Ticket ticket, const std::string& shape, std::size_t size);
+  // The client has been given all of it, or as much as came.
+  void Delivered(RequestId id);
   // Every request, also one that is taken later, has its final answer by then.
   void EndBy(Micros when);
   // While another process of this router serves beside this one: what it must know, and what it tells. Until
@@ -169,7 +178,7 @@
   const Settings& settings() const { return options_.settings; }
   const ExchangeCounters& counters() const { return counters_; }
   Figures FiguresAt(Micros now) const;
-  std::size_t live() const { return requests_.size(); }
+  std::size_t live() const { return requests_.size() + running_.size(); }
 
  private:
   struct Request {
@@ -187,6 +196,11 @@
     Micros sent = 0;
     std::uint64_t key = 0;
   };
+  struct Running {      // a value that is being passed on
+    Ticket ticket = 0;  // 0: its server is through
+    Out out;
+    std::shared_ptr<Transfer> transfer;
+  };
   // At the same moment an attempt's end comes before the module's timers, and these before the last guard.
   enum class DueKind { kTicket, kTimer, kOverdue };
   struct Due {
@@ -202,6 +216,7 @@
   void TellOutcome(const Out& out, const Outcome& outcome, bool wrote);
   void Schedule(Micros when, DueKind kind, std::uint64_t id);
   void EndOut(Micros now, Ticket ticket, Outcome outcome);
+  void EndTransfer(Micros now, RequestId id, Outcome outcome);
   void Give(RequestId id, Answer answer);
   void CountEnd(int class_index, const Answer& answer);
   Micros StartBy(RequestId id, const Request& request) const;
@@ -237,6 +252,8 @@
   std::uint64_t next_sequence_ = 0;
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<Ticket, Out> out_;
+  std::unordered_map<RequestId, Running> running_;
+  std::unordered_map<Ticket, RequestId> begun_;  // whose servers are not through yet
   std::map<std::pair<RequestId, int>, Ticket> attempts_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   // By the id in lists. Ids are never used again once a server has left the list.
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -72,11 +72,12 @@
   bool started = false, reading = false, writing = false, skipping = false;
   bool ending = false;  // nothing more is read as messages: the last words are on their way
   bool finished = false, closed = false;
-  bool queued = false;    // the rest of its messages waits for the next turn
-  RequestId request = 0;  // the one that is being answered; 0: none
-  std::string open_id;    // what the client calls it
-  int refusals = 0;       // statements in a row that could not be used
-  bool asked = false;     // it has sent something whole since it started
+  bool queued = false;                 // the rest of its messages waits for the next turn
+  RequestId request = 0;               // the one that is being answered; 0: none
+  std::string open_id;                 // what the client calls it
+  std::shared_ptr<Transfer> transfer;  // the value that is being passed on to it
+  int refusals = 0;                    // statements in a row that could not be used
+  bool asked = false;                  // it has sent something whole since it started
   std::size_t discarded = 0;
   Micros connected = 0, last_active = 0, ending_since = 0;
   Micros message_since = 0;  // when what is not whole yet began to come
@@ -393,6 +394,17 @@
   const auto it = asking_.find(id);
   if (it == asking_.end()) return;
   const ClientPtr client = it->second;
+  if (const auto* begun = std::get_if<Begun>(&answer)) {
+    client->transfer = begun->transfer;
+    client->last_active = clock_.Now();
+    carried_ -= std::exchange(client->carried, 0);
+    pg::AppendMessage(client->out, 'T', begun->transfer->shape());
+    pg::AppendRowHead(client->out, begun->transfer->size());
+    begun->transfer->on_change = [this, weak = std::weak_ptr(client)] {
+      if (const ClientPtr waiting = weak.lock()) PassOn(waiting);
+    };
+    return PassOn(client);
+  }
   asking_.erase(it);
   EndRequest(client);
   client->last_active = clock_.Now();
@@ -411,6 +423,31 @@
   Process(client);
 }
 
+void ClientFront::PassOn(const ClientPtr& client) {
+  const std::shared_ptr<Transfer> transfer = client->transfer;
+  while (transfer && !client->writing && !client->closed) {
+    if (!client->out.empty()) {
+      Write(client);
+    } else if (!transfer->empty()) {
+      client->out = transfer->Take();
+    } else {
+      break;
+    }
+  }
+  if (client->closed || client->writing || transfer->state() == Transfer::State::kRunning) return;
+  const RequestId request = client->request;
+  client->transfer.reset();
+  asking_.erase(request);
+  EndRequest(client);
+  const bool whole = transfer->state() == Transfer::State::kWhole;
+  exchange_.Delivered(request);
+  // A part of the value is out: only the close can say that the rest will not come.
+  if (!whole) return Close(client);
+  pg::AppendMessage(client->out, 'C', transfer->tag());
+  pg::AppendReady(client->out);
+  Process(client);
+}
+
 void ClientFront::EndRequest(const ClientPtr& client) {
   client->request = 0;
   client->message_since = clock_.Now();
@@ -445,6 +482,7 @@
                       client->on_the_way.clear();
                       client->on_the_way.shrink_to_fit();
                       client->last_active = clock_.Now();
+                      if (client->transfer) return PassOn(client);
                       Process(client);
                     });
 }
@@ -476,6 +514,7 @@
   std::error_code ignored;
   client->socket.close(ignored);
   buffered_ -= std::exchange(client->counted, 0);
+  client->transfer.reset();
   if (const RequestId request = client->request; request != 0) {
     asking_.erase(request);
     EndRequest(client);
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -76,6 +76,8 @@
   void OnQuery(const ClientPtr& client, std::string_view text);
   const char* WhyNot(const pg::Statement* statement, const ClassNames::const_iterator& found) const;
   void EndRequest(const ClientPtr& client);
+  // Passes on what has come of a large value.
+  void PassOn(const ClientPtr& client);
   void Write(const ClientPtr& client);
   // Says why, then ends the connection without losing what was said.
   void EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -23,8 +23,9 @@
 // next query, so that what comes then is never taken for that query's answer.
 constexpr Micros kRest = 2'000;
 constexpr std::size_t kReadSize = 8192;
-// A value of 64 KiB with what stands round it.
-constexpr std::size_t kLargestAnswer = std::size_t{80} << 10;
+// A value that is being passed on is given up when its server has sent nothing for so long; until then it may
+// only be slow.
+constexpr Micros kStalled = 10'000'000;
 
 template <typename T>
 void Remove(std::vector<T>& list, const T& item) {
@@ -38,7 +39,7 @@
   enum class State { kOpening, kResting, kIdle, kBusy, kClosed };
 
   Connection(asio::io_context& io, ServerId id, const asio::ip::tcp::endpoint& at)
-      : socket(io), timer(io), server(id), address(at), reader(false, kLargestAnswer) {}
+      : socket(io), timer(io), server(id), address(at), reader(pg::MessageReader::ForAnswers()) {}
 
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
@@ -50,6 +51,12 @@
   pg::AnswerReader answer;
   Ticket ticket = 0;
   bool written = false;
+  // A value that is passed on as it comes: how much of it is still to come, and whether its client has to
+  // catch up first.
+  std::shared_ptr<Transfer> transfer;
+  std::size_t value_left = 0;
+  bool paused = false;
+  Micros last_bytes = 0;
   std::string out;
   std::array<char, kReadSize> in{};
 };
@@ -140,7 +147,7 @@
     } catch (const pg::ProtocolError&) {
       OnGarbage(link);
     }
-    if (link->state != Connection::State::kClosed) Read(link);
+    if (link->state != Connection::State::kClosed && !link->paused) Read(link);
   });
 }
 
@@ -148,7 +155,19 @@
   const bool asked = link->state == Connection::State::kOpening || link->state == Connection::State::kBusy;
   if (!asked) return Retire(link);
   link->reader.Feed(std::string_view(link->in.data(), size));
+  link->last_bytes = clock_.Now();
   while (link->state != Connection::State::kClosed) {
+    if (link->value_left > 0) {
+      PassOn(link);
+      if (link->value_left > 0) return;
+      continue;
+    }
+    if (link->state == Connection::State::kBusy) {
+      if (const std::optional<std::size_t> large = link->reader.NextLargeRow()) {
+        OnLargeRow(link, *large);
+        continue;
+      }
+    }
     const std::optional<pg::Message> message = link->reader.Next();
     if (!message) return;
     switch (link->state) {
@@ -166,8 +185,31 @@
   }
 }
 
+void ServerPool::OnLargeRow(const Link& link, std::size_t size) {
+  link->answer.BeginRow();
+  link->transfer = exchange_.Begin(clock_.Now(), link->ticket, link->answer.shape(), size);
+  if (!link->transfer) return Close(link);  // nobody waits for it any more
+  link->value_left = size;
+  link->transfer->on_room = [this, weak = std::weak_ptr(link)] {
+    const Link waiting = weak.lock();
+    if (!waiting || waiting->state == Connection::State::kClosed || !waiting->paused) return;
+    waiting->paused = false;
+    waiting->last_bytes = clock_.Now();
+    Read(waiting);
+  };
+}
+
+void ServerPool::PassOn(const Link& link) {
+  const std::string_view bytes = link->reader.TakeValue(link->value_left);
+  link->value_left -= bytes.size();
+  const std::shared_ptr<Transfer> transfer = link->transfer;
+  if (!bytes.empty()) link->paused = !transfer->Give(bytes);
+}
+
 void ServerPool::OnAnswered(const Link& link) {
   const Ticket ticket = link->ticket;
+  link->transfer.reset();
+  link->paused = false;  // the rest is the client's side's
   Outcome outcome = *link->answer.Settled();
   busy_.erase(ticket);
   link->state = Connection::State::kResting;
@@ -249,6 +291,8 @@
   link->state = Connection::State::kBusy;
   link->ticket = job.ticket;
   link->answer = {};
+  link->transfer.reset();
+  link->value_left = 0;
   link->written = false;
   busy_[job.ticket] = link;
   std::string text(kProbeQuery);
@@ -298,6 +342,7 @@
   if (link->state == Connection::State::kIdle) Remove(site.idle, link);
   if (link->state == Connection::State::kBusy) busy_.erase(link->ticket);
   link->state = Connection::State::kClosed;
+  link->transfer.reset();
   link->timer.cancel();
   std::error_code ignored;
   link->socket.close(ignored);
@@ -388,6 +433,12 @@
       Close(Link(site.idle.front()));
     }
   }
+  std::vector<Link> stalled;
+  for (const auto& [ticket, link] : busy_) {
+    if (link->transfer && !link->paused && clock_.Now() - link->last_bytes > kStalled)
+      stalled.push_back(link);
+  }
+  for (const Link& link : stalled) OnBroken(link);
   // What is still under way at a server that was forgotten makes its entry anew, until it has ended.
   std::erase_if(sites_, [](const auto& entry) {
     const Site& site = entry.second;
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -72,6 +72,9 @@
   void Read(const Link& link);
   void OnBytes(const Link& link, std::size_t size);
   void OnStartup(const Link& link, char type, std::string_view body);
+  // A value that is passed on as it comes; false: no more is wanted for now.
+  void OnLargeRow(const Link& link, std::size_t size);
+  void PassOn(const Link& link);
   void OnAnswered(const Link& link);
   void OnGarbage(const Link& link);
   // Closes a connection on which more came than was called for.
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -23,8 +23,7 @@
       outcome_.served.shape = message.body;
       return false;
     case 'D':
-      if (!described_ || row_ || ended()) throw ProtocolError("a row that was not announced");
-      row_ = true;
+      BeginRow();
       outcome_.served.value = ParseSingleColumn(message.body);
       return false;
     case 'C':
@@ -57,6 +56,11 @@
   }
 }
 
+void AnswerReader::BeginRow() {
+  if (!described_ || row_ || ended()) throw ProtocolError("a row that was not announced");
+  row_ = true;
+}
+
 void AnswerReader::TakeStatus(std::string_view body) {
   const auto [name, value] = ParseParameterStatus(body);
   if (name == "replication_role") {
--- a/src/pg/answer.hpp
+++ b/src/pg/answer.hpp
@@ -15,6 +15,10 @@
  public:
   // True once the answer is whole and the connection is ready for the next query. Throws ProtocolError.
   bool Take(const Message& message);
+  // The row comes by itself, its value passed on: from here on the answer is only checked. Throws as Take
+  // does.
+  void BeginRow();
+  const std::string& shape() const { return outcome_.served.shape; }
   // What the messages so far amount to, when the connection goes no further; none: no answer.
   std::optional<Outcome> Settled() const;
 
--- a/src/pg/wire.cpp
+++ b/src/pg/wire.cpp
@@ -56,7 +56,8 @@
   const std::size_t head = startup_ ? 4 : 5;
   if (rest.size() < head) return std::nullopt;
   const std::size_t length = ReadU32(rest, head - 4);
-  const std::size_t most = startup_ ? kLargestStartup : largest_;
+  const std::size_t row = passes_rows_ && rest[0] == 'D' ? kLargestValue + kRowHead : largest_;
+  const std::size_t most = startup_ ? kLargestStartup : row;
   if (length < (startup_ ? 8u : 4u) || length > most)
     throw ProtocolError("a message has an impossible length");
   const std::size_t whole = length + head - 4;
@@ -65,6 +66,25 @@
   return Message{startup_ ? '\0' : rest[0], rest.substr(head, whole - head)};
 }
 
+std::optional<std::size_t> MessageReader::NextLargeRow() {
+  const std::string_view rest = std::string_view(bytes_).substr(taken_);
+  const std::size_t head = 1 + kRowHead;
+  if (!passes_rows_ || rest.size() < head || rest[0] != 'D') return std::nullopt;
+  const std::size_t length = ReadU32(rest, 1);
+  if (length <= kLargestHeld + kRowHead || length > kLargestValue + kRowHead) return std::nullopt;
+  if (rest[5] != 0 || rest[6] != 1) throw ProtocolError("a row has not just one column");
+  const std::size_t size = ReadU32(rest, 7);
+  if (size != length - kRowHead) throw ProtocolError("a row's value does not fill it");
+  taken_ += head;
+  return size;
+}
+
+std::string_view MessageReader::TakeValue(std::size_t left) {
+  const std::string_view bytes = std::string_view(bytes_).substr(taken_, left);
+  taken_ += bytes.size();
+  return bytes;
+}
+
 StartupKind ParseStartup(std::string_view body) {
   switch (const std::uint32_t code = ReadU32(body, 0)) {
     case kSslRequest:
@@ -150,11 +170,15 @@
 
 void AppendAuthenticationOk(std::string& out) { AppendMessage(out, 'R', std::string_view("\0\0\0\0", 4)); }
 
-void AppendDataRow(std::string& out, std::string_view value) {
+void AppendRowHead(std::string& out, std::size_t value_size) {
   out.push_back('D');
-  AppendU32(out, value.size() + 10);
+  AppendU32(out, value_size + kRowHead);
   out += std::string_view("\0\1", 2);
-  AppendU32(out, value.size());
+  AppendU32(out, value_size);
+}
+
+void AppendDataRow(std::string& out, std::string_view value) {
+  AppendRowHead(out, value.size());
   out += value;
 }
 
--- a/src/pg/wire.hpp
+++ b/src/pg/wire.hpp
@@ -21,6 +21,11 @@
 // A value has 64 KiB at most; as hex digits in a statement it takes twice that.
 inline constexpr std::size_t kLargestMessage = std::size_t{192} << 10;
 inline constexpr std::size_t kLargestStartup = 10000;
+// A value up to this size is held until its answer is whole; a larger one is passed on as it comes.
+inline constexpr std::size_t kLargestHeld = std::size_t{64} << 10;
+inline constexpr std::size_t kLargestValue = std::size_t{4} << 20;
+// What a row's length counts beside the value of its one column.
+inline constexpr std::size_t kRowHead = 10;
 
 struct Message {
   char type = 0;          // 0: a startup packet, which has none
@@ -33,10 +38,21 @@
   // A client's first packets carry no type byte.
   explicit MessageReader(bool startup_first, std::size_t largest = kLargestMessage)
       : startup_(startup_first), largest_(largest) {}
+  // A server's: rows whose values are larger than kLargestHeld are not held but taken as they come.
+  static MessageReader ForAnswers() {
+    MessageReader reader(false, kLargestHeld + kRowHead);
+    reader.passes_rows_ = true;
+    return reader;
+  }
 
   void Feed(std::string_view bytes);
   // The next whole message; throws ProtocolError where a length is impossible.
   std::optional<Message> Next();
+  // Where the next message is a row whose value is not held: the size of that value. Its head is taken then,
+  // and the value follows by TakeValue. Throws where the row has not just one column that fills it.
+  std::optional<std::size_t> NextLargeRow();
+  // What has come of a value of which `left` bytes are still to come.
+  std::string_view TakeValue(std::size_t left);
   // Startup is over: from here on messages have a type.
   void ExpectTyped() { startup_ = false; }
   std::size_t buffered() const { return bytes_.size() - taken_; }
@@ -44,6 +60,7 @@
  private:
   bool startup_;
   std::size_t largest_;
+  bool passes_rows_ = false;
   std::string bytes_;
   std::size_t taken_ = 0;
 };
@@ -73,6 +90,8 @@
 void AppendReady(std::string& out);
 void AppendAuthenticationOk(std::string& out);
 void AppendDataRow(std::string& out, std::string_view value);
+// Of a row whose value follows by itself.
+void AppendRowHead(std::string& out, std::size_t value_size);
 // `detail` fills the field D where it is not empty.
 void AppendError(std::string& out, std::string_view severity, std::string_view code, std::string_view message,
                  std::string_view detail = {});
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -264,6 +264,78 @@
   EXPECT_EQ(reader.attempts.size(), 1u);
 }
 
+// Guards against a deadline that cuts off a value on its way, and one whose end is told twice or never.
+TEST(Exchange, AValueOnItsWayIsEndedByItsServerOrItsClientAlone) {
+  enum class End { kWhole, kBroken, kClientLeft };
+  for (const End end : {End::kWhole, End::kBroken, End::kClientLeft}) {
+    Bench b;
+    const RequestId id = b.Ask(kAnyRead, 300 * kMs);
+    const Ticket ticket = b.attempts[0].ticket;
+    b.Pass(20 * kMs);
+    const auto transfer = b.exchange.Begin(b.now, ticket, "shape", 100'000);
+    ASSERT_TRUE(transfer);
+    EXPECT_EQ(transfer->size(), 100'000u);
+    b.Collect();
+    ASSERT_EQ(b.answers[id].size(), 1u);
+    EXPECT_EQ(std::get<Begun>(b.answers[id][0]).transfer, transfer);
+    b.exchange.EndBy(b.now + kSecond);
+    b.Pass(5 * kSecond);
+    EXPECT_TRUE(b.ended.empty());
+    EXPECT_EQ(b.exchange.FiguresAt(b.now).in_progress, 1u);
+    if (end == End::kClientLeft) {
+      b.exchange.ClientLeft(b.now, id);
+      b.Collect();
+      EXPECT_EQ(b.ended, (std::vector<Ticket>{ticket}));
+    } else {
+      const Status status = end == End::kWhole ? Status::kOk : Status::kReset;
+      b.End(ticket, {.status = status, .served = {"", "", "tag"}});
+      EXPECT_EQ(transfer->state(), end == End::kWhole ? Transfer::State::kWhole : Transfer::State::kBroken);
+      EXPECT_EQ(b.exchange.live(), 1u);  // until the client has it
+      b.exchange.Delivered(id);
+    }
+    b.End(ticket, {.status = Status::kReset});
+    b.exchange.Delivered(id);
+    EXPECT_EQ(b.exchange.live(), 0u);
+    EXPECT_EQ(b.answers[id].size(), 1u);
+    EXPECT_EQ(b.attempts.size(), 1u);
+    const ClassFigures ends = b.exchange.FiguresAt(b.now).classes[kAnyRead].second;
+    EXPECT_EQ(ends.passed, end == End::kWhole ? 1u : 0u);
+    EXPECT_EQ(ends.bad_gateway, end == End::kBroken ? 1u : 0u);
+  }
+}
+
+// Guards against a value passed on to nobody, and against losing the write that it shows.
+TEST(Exchange, AValueThatNobodyWaitsForIsNotPassedOn) {
+  Bench b;
+  const RequestId id = b.Ask(kKeyedWrite);
+  b.exchange.ClientLeft(b.now, id);
+  EXPECT_FALSE(b.exchange.Begin(b.now, b.attempts[0].ticket, "shape", 100'000));
+  EXPECT_EQ(b.exchange.Sessions().size(), 1u);
+  EXPECT_FALSE(b.exchange.Begin(b.now, b.attempts[0].ticket, "shape", 100'000));  // it is over
+}
+
+// Guards against a fast server filling the memory for a slow client.
+TEST(Transfer, HoldsLittleAndSaysWhenThereIsRoom) {
+  Transfer transfer("shape", 1 << 20);
+  int changes = 0, rooms = 0;
+  transfer.on_change = [&] { ++changes; };
+  transfer.on_room = [&] { ++rooms; };
+  const std::string piece(8192, 'v');
+  EXPECT_TRUE(transfer.Give(piece));
+  EXPECT_EQ(transfer.Take(), piece);
+  EXPECT_EQ(rooms, 0);
+  int given = 1;
+  while (transfer.Give(piece)) ++given;
+  EXPECT_EQ(given, 4);
+  EXPECT_TRUE(transfer.full());
+  EXPECT_EQ(transfer.Take().size(), 4 * piece.size());
+  EXPECT_EQ(rooms, 1);
+  transfer.Complete("tag");
+  transfer.Break();  // too late
+  EXPECT_EQ(transfer.state(), Transfer::State::kWhole);
+  EXPECT_EQ(changes, 6);
+}
+
 // Guards against a planned end that leaves a request without its answer, taken before or after it was told.
 TEST(Exchange, AllIsAnsweredByAPlannedEnd) {
   Bench b;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -34,7 +34,9 @@
 // A socket that reads whole messages; a test that waits for what never comes fails instead of hanging.
 class Peer {
  public:
-  explicit Peer(tcp::socket socket, bool startup_first) : socket_(std::move(socket)), reader_(startup_first) {
+  explicit Peer(tcp::socket socket, bool startup_first)
+      : socket_(std::move(socket)),
+        reader_(startup_first ? pg::MessageReader(true) : pg::MessageReader::ForAnswers()) {
     const timeval limit{30, 0};
     setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   }
@@ -74,7 +76,9 @@
  public:
   using Script = std::function<std::string(const std::string& query)>;
 
-  explicit ScriptedServer(Script script) : script_(std::move(script)), acceptor_(io_, Loopback(0)) {
+  // With `once` it closes behind its first answer.
+  explicit ScriptedServer(Script script, bool once = false)
+      : script_(std::move(script)), once_(once), acceptor_(io_, Loopback(0)) {
     thread_ = std::thread([this] { Serve(); });
   }
   ~ScriptedServer() {
@@ -113,10 +117,12 @@
       const std::string answer = script_(query);
       if (answer.empty()) return;
       peer.Write(answer);
+      if (once_) return;
     }
   }
 
   Script script_;
+  bool once_;
   asio::io_context io_;
   tcp::acceptor acceptor_;
   std::thread thread_;
@@ -407,6 +413,54 @@
   for (int i = 0; i < 400; ++i) ASSERT_EQ(greedy.UntilReady()[0].first, 'T') << i;
 }
 
+std::string Noise(std::size_t size) {
+  std::mt19937 random(7);
+  std::string bytes(size, '\0');
+  for (char& c : bytes) c = static_cast<char>(random());
+  return bytes;
+}
+
+// Guards against large values taken for garbage, held whole, or mixed up with what comes behind them.
+TEST(Node, ALargeValueIsPassedOnWhole) {
+  const std::string value = Noise(std::size_t{4} << 20);
+  ScriptedServer server([&](const std::string& query) {
+    return Row(query.find("id=1,") == std::string::npos ? "small" : value);
+  });
+  Running node({server.port()});
+  Peer client = node.Session();
+  const int small = 65536;
+  setsockopt(client.socket().native_handle(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  client.Write(Ask("1") + Ask("2"));
+  // Another one is served while this one does not read.
+  Peer other = node.Session();
+  other.Write(Ask("3"));
+  EXPECT_EQ(other.UntilReady()[0].first, 'T');
+  const Messages m = client.UntilReady();
+  ASSERT_EQ(m.size(), 4u);
+  EXPECT_EQ(m[0].second, kShape);
+  EXPECT_TRUE(pg::ParseSingleColumn(m[1].second) == value);
+  EXPECT_EQ(m[2].second, std::string("SELECT 1\0", 9));
+  EXPECT_EQ(pg::ParseSingleColumn(client.UntilReady()[1].second), "small");
+  EXPECT_NE(node.Call("GET", "/control/counters").find("passed.any=3\n"), std::string::npos);
+}
+
+// Guards against a value that breaks off and looks whole, or of which a second attempt sends more.
+TEST(Node, ALargeValueThatBreaksOffEndsInACloseAndNoFurtherAttempt) {
+  for (const bool garbage : {false, true}) {
+    std::string answer = Row(Noise(300'000));
+    if (garbage) answer[answer.size() - 50] = '\xff';  // behind the value
+    const std::string sent = garbage ? answer : answer.substr(0, 200'000);
+    ScriptedServer server([&](const std::string&) { return sent; }, !garbage);
+    Running node({server.port()});
+    Peer client = node.Session();
+    client.Write(Ask("1") + Ask("2"));
+    for (const auto& [type, body] : client.UntilReady())
+      EXPECT_TRUE(type == 'T' || type == 'D' || type == '\0');
+    EXPECT_EQ(server.queries().size(), 1u);
+    EXPECT_NE(node.Call("GET", "/control/counters").find("bad_gateway.any=1\n"), std::string::npos);
+  }
+}
+
 // Discovery for one watch: keeps what was asked, tells the one server, in pieces, and stays open.
 class Agent {
  public:
--- a/tests/pg_test.cpp
+++ b/tests/pg_test.cpp
@@ -253,6 +253,67 @@
   refuses(3, {'Z', "T"});
 }
 
+// Guards against a large value read otherwise because of where its bytes were cut, or taking what is behind
+// it.
+TEST(MessageReader, ALargeRowIsTakenAsItComes) {
+  const std::string value(kLargestHeld + 1, 'v');
+  std::string bytes;
+  AppendDataRow(bytes, value.substr(1));  // just small enough to be held
+  AppendDataRow(bytes, value);
+  AppendReady(bytes);
+  for (unsigned seed = 0; seed < 20; ++seed) {
+    std::mt19937 random(seed);
+    MessageReader reader = MessageReader::ForAnswers();
+    std::string seen, taken;
+    std::size_t left = 0;
+    for (std::size_t at = 0; at < bytes.size();) {
+      const std::size_t size = std::min<std::size_t>(bytes.size() - at, 1 + random() % 9000);
+      reader.Feed(std::string_view(bytes).substr(at, size));
+      at += size;
+      for (bool more = true; more;) {
+        const std::string_view part = reader.TakeValue(left);
+        taken += part;
+        left -= part.size();
+        if (left > 0) break;
+        const auto large = reader.NextLargeRow();
+        if (large) left = *large;
+        const auto message = large ? std::nullopt : reader.Next();
+        if (message) seen += message->type;
+        more = large || message;
+      }
+    }
+    EXPECT_EQ(seen, "DZ") << seed;
+    EXPECT_TRUE(taken == value) << seed;
+  }
+}
+
+// Guards against a head that lies: of the value nothing is passed on then.
+TEST(MessageReader, ALargeRowWhoseHeadDoesNotHoldIsRefused) {
+  const auto head = [](std::size_t length, char columns, std::size_t size) {
+    std::string bytes = "D";
+    for (const std::size_t number : {length, size}) {
+      for (int shift = 24; shift >= 0; shift -= 8) bytes.push_back(static_cast<char>(number >> shift & 0xff));
+      if (number == length && bytes.size() == 5) bytes += std::string("\0", 1) + columns;
+    }
+    return bytes;
+  };
+  const auto read = [](const std::string& bytes) {
+    MessageReader reader = MessageReader::ForAnswers();
+    reader.Feed(bytes);
+    const auto large = reader.NextLargeRow();
+    if (!large) reader.Next();
+    return large;
+  };
+  EXPECT_EQ(read(head(100'010, 1, 100'000)), 100'000u);
+  EXPECT_EQ(read(head(kLargestValue + kRowHead, 1, kLargestValue)), kLargestValue);
+  EXPECT_THROW(read(head(100'010, 2, 100'000)), ProtocolError);
+  EXPECT_THROW(read(head(100'010, 1, 99'999)), ProtocolError);
+  EXPECT_THROW(read(head(kLargestValue + kRowHead + 1, 1, kLargestValue + 1)), ProtocolError);
+  EXPECT_THROW(read(head(3'000'000'000, 1, 2'999'999'990)), ProtocolError);
+  EXPECT_FALSE(read(head(100'010, 1, 100'000).substr(0, 10)));
+  EXPECT_THROW(read("E" + head(100'010, 1, 100'000).substr(1)), ProtocolError);
+}
+
 TEST(Report, NumbersByName) {
   const auto report = ParseReport("x0=1767225600123.5,x1=1,util=0.61");
   ASSERT_EQ(report.size(), 3u);
