Hold large statements once under one budget, and keep connections free for asking

Lines at fault: ClientFront::OnQuery took requests without end; ClientFront::ShedIdle closed whoever had been idle longest, and those are mostly pooled connections about to be used again, where others asked once and stay for good.

Changed: requests are turned away (53300, come back in 100 ms) while a quarter of the descriptors is busy with open ones; shed in the order: asked nothing, asked once, the rest, just connected. Large statements: MakeRoom sets their stated length aside before the rest is read, the payload holds the only copy, the pool writes round the wait; 2 s for a head is lawful (2.6 s), and a message whose pieces come may take 30 s.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -23,12 +23,6 @@
 
 }  // namespace
 
-std::string Payload::WithWait(std::int64_t wait_ms) const {
-  std::string out = bytes;
-  out.replace(wait_at, wait_size, std::to_string(wait_ms));
-  return out;
-}
-
 std::string ToText(const ExchangeCounters& c) {
   std::string text;
   const auto add = [&](const std::string& name, std::uint64_t value) {
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <queue>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -31,8 +32,11 @@
 struct Payload {
   std::string bytes;
   std::size_t wait_at = 0, wait_size = 0;
+  std::shared_ptr<const void> room = {};  // what is set aside for it, where it is large
 
-  std::string WithWait(std::int64_t wait_ms) const;
+  // What stands before and behind the stated wait.
+  std::string_view Before() const { return std::string_view(bytes).substr(0, wait_at); }
+  std::string_view Behind() const { return std::string_view(bytes).substr(wait_at + wait_size); }
 };
 
 struct ClientRequest {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,6 @@
 // The router as a program: reads its configuration, serves, and says in one line why it can't.
+#include <malloc.h>
+
 #include <csignal>
 #include <exception>
 
@@ -7,6 +9,8 @@
 #include "src/net/node.hpp"
 
 int main() {
+  // Large statements are given back to the system when they are through: memory is scarce.
+  mallopt(M_MMAP_THRESHOLD, 128 << 10);
   std::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may end first
   // Signals that come before the node handles them wait: one to reread the configuration must not end it.
   sigset_t handled, before;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -28,8 +28,13 @@
 constexpr int kElsewhereRetryMs = 20;
 // A client that takes nothing of what is sent to it for so long is given up.
 constexpr Micros kStuck = 30'000'000;
-// A client that has asked nothing whole for so long since it connected is told so and let go.
-constexpr Micros kFirstRequestWithin = 2'000'000;
+// A client that has sent nothing for so long since it connected, or of what it has begun, is told so and let
+// go. Two seconds are lawful.
+constexpr Micros kFirstRequestWithin = 2'600'000;
+// So is one that goes on sending, but is not through with one message by then; and one for whose large
+// statement there was no room for so long.
+constexpr Micros kLongestMessage = 30'000'000;
+constexpr Micros kLongestRoomWait = 10'000'000;
 // So may be one that holds its connection without a request; sooner, the more of the places are taken.
 constexpr Micros kIdleCrowded = 2'020'000;
 constexpr Micros kIdle = 10'000'000;
@@ -68,7 +73,9 @@
   explicit Client(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
 
   asio::ip::tcp::socket socket;
-  pg::MessageReader reader{true};
+  pg::MessageReader reader{true, pg::kLargestStatement};
+  StatementBudget::Room room;  // for the large statement that is being read
+  bool awaits_room = false;
   bool started = false, reading = false, writing = false, skipping = false;
   bool ending = false;  // nothing more is read as messages: the last words are on their way
   bool finished = false, closed = false;
@@ -76,10 +83,12 @@
   RequestId request = 0;               // the one that is being answered; 0: none
   std::string open_id;                 // what the client calls it
   std::shared_ptr<Transfer> transfer;  // the value that is being passed on to it
-  int refusals = 0;                    // statements in a row that could not be used
-  bool asked = false;                  // it has sent something whole since it started
+  int answered = 0;
+  int refusals = 0;    // statements in a row that could not be used
+  bool asked = false;  // it has sent something whole since it started
   std::size_t discarded = 0;
   Micros connected = 0, last_active = 0, ending_since = 0;
+  Micros heard = 0;          // when it connected, or its startup was whole
   Micros message_since = 0;  // when what is not whole yet began to come
   // Its parts of the sums over all clients.
   std::size_t counted = 0, carried = 0;
@@ -98,7 +107,12 @@
       options_(options),
       acceptor_(io),
       accept_pause_(io),
-      sweep_(io) {
+      sweep_(io),
+      budget_(options.limits.large_statements) {
+  budget_.OnRelease([this] {
+    if (std::exchange(room_posted_, true)) return;
+    asio::post(io_, [this] { OnRoom(); });
+  });
   try {
     if (options.accept_fd >= 0) {
       // Programs that this one may start have no business with it. It is never shut down: others share it.
@@ -141,6 +155,7 @@
 
 void ClientFront::Resize(const FrontLimits& limits) {
   options_.limits = limits;
+  budget_.Resize(limits.large_statements);
   while (clients_.size() > limits.most_clients && ShedIdle()) {
   }
 }
@@ -167,9 +182,9 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   // Clients may hold but a part of the descriptors for their requests. Where each asks on a connection of its
   // own and keeps it, those that are idle must go before that part is used up, or nobody can ask any more.
-  for (int shed = 0;
-       shed < kShedAtOnce && clients_.size() >= options_.limits.kept_clients && ShedIdle(kSurelyIdle);
-       ++shed) {
+  for (int shed = 0; shed < kShedAtOnce && clients_.size() >= options_.limits.kept_clients; ++shed) {
+    const bool urgent = clients_.size() >= options_.limits.kept_clients + options_.limits.kept_clients / 8;
+    if (!ShedIdle(urgent ? 0 : kSurelyIdle)) break;
   }
   const bool room = clients_.size() < options_.limits.most_clients || ShedIdle();
   if (!room && clients_.size() >= options_.limits.most_clients + kMostTurnedAway) {
@@ -181,7 +196,7 @@
     return;
   }
   const auto client = std::make_shared<Client>(std::move(socket));
-  client->connected = client->last_active = client->message_since = clock_.Now();
+  client->connected = client->heard = client->last_active = client->message_since = clock_.Now();
   clients_.insert(client);
   if (!room) {
     ++counters_.turned_away;
@@ -236,7 +251,8 @@
   }
   if (client->closed) return;
   const bool held_back = client->unsent() >= kMostUnsent;
-  const std::size_t buffered = client->ending ? 0 : client->reader.buffered();
+  const bool has_room = MakeRoom(client);
+  const std::size_t buffered = client->ending || client->room ? 0 : client->reader.buffered();
   buffered_ += buffered - client->counted;
   client->counted = buffered;
   const bool crowded = buffered_ > options_.limits.most_buffered && buffered > kReadSize;
@@ -250,11 +266,43 @@
   if (client->closed) return;
   // What it was not asked for while answers were unsent.
   if (held_back && client->unsent() < kMostUnsent && client->reader.buffered() > 0) ProcessLater(client);
+  if (!has_room) return;
   const bool held_up = client->unsent() >= kMostUnsent || crowded || client->reader.buffered() >= kReadAhead;
   // A whole message may be larger than what is read ahead.
   if (!held_up || (client->request == 0 && client->unsent() < kMostUnsent)) Read(client);
 }
 
+bool ClientFront::MakeRoom(const ClientPtr& client) {
+  const std::size_t wanted = client->request == 0 && !client->ending ? client->reader.Wanted() : 0;
+  if (wanted <= pg::kLargestMessage) {
+    client->room.reset();
+    return true;
+  }
+  if (client->room) return true;
+  // Whoever waits longer goes first.
+  if (awaiting_room_.empty() || client->awaits_room) client->room = budget_.Reserve(wanted);
+  if (client->room) {
+    client->reader.Reserve(wanted);
+  } else if (!std::exchange(client->awaits_room, true)) {
+    awaiting_room_.push_back(client);
+  }
+  return client->room != nullptr;
+}
+
+void ClientFront::OnRoom() {
+  room_posted_ = false;
+  while (!awaiting_room_.empty()) {
+    const ClientPtr client = awaiting_room_.front().lock();
+    if (client && !client->closed && !client->ending) {
+      if (!MakeRoom(client)) return;
+      client->last_active = clock_.Now();
+      Read(client);
+    }
+    if (client) client->awaits_room = false;
+    awaiting_room_.pop_front();
+  }
+}
+
 void ClientFront::ProcessLater(const ClientPtr& client) {
   if (client->queued) return;
   client->queued = true;
@@ -275,6 +323,7 @@
       break;
   }
   client->started = true;
+  client->heard = clock_.Now();
   client->reader.ExpectTyped();
   pg::AppendAuthenticationOk(client->out);
   pg::AppendParameterStatus(client->out, "server_version", "15.0");
@@ -349,7 +398,9 @@
     return EndWith(client, "57P03", "out of service: trying again is harmless",
                    std::to_string(kElsewhereRetryMs));
   }
-  if (carried_ + text.size() > options_.limits.most_buffered) {
+  // Where all that clients may hold is busy, nobody can even ask, in this process or the one that takes over.
+  const bool crowded = asking_.size() >= options_.limits.most_open;
+  if (crowded || (!client->room && carried_ + text.size() > options_.limits.most_buffered)) {
     ++counters_.turned_away;
     exchange_.CountTurnedAway(class_index, Refused{});
     pg::AppendError(client->out, "ERROR", "53300", "too much is under way", std::to_string(kCrowdedRetryMs));
@@ -367,10 +418,10 @@
   request.wait = statement->wait_ms * 1000;
   if (freshness == Freshness::kSession) request.after_unix_ms = statement->after_ms;
   request.repeat = statement->repeat;
-  request.payload =
-      std::make_shared<const Payload>(Payload{std::string(text), statement->wait_at, statement->wait_size});
-  client->carried = text.size();
-  carried_ += client->carried;
+  if (!client->room) carried_ += client->carried = text.size();
+  // From here on the statement's text is the payload's.
+  request.payload = std::make_shared<const Payload>(Payload{client->reader.TakeBody(text), statement->wait_at,
+                                                            statement->wait_size, std::move(client->room)});
   options_.before_request();
   client->request = exchange_.Submit(clock_.Now(), request);
   asking_[client->request] = client;
@@ -406,6 +457,7 @@
     return PassOn(client);
   }
   asking_.erase(it);
+  ++client->answered;
   EndRequest(client);
   client->last_active = clock_.Now();
   if (const auto* served = std::get_if<Served>(&answer)) {
@@ -439,6 +491,7 @@
   client->transfer.reset();
   asking_.erase(request);
   EndRequest(client);
+  ++client->answered;
   const bool whole = transfer->state() == Transfer::State::kWhole;
   exchange_.Delivered(request);
   // A part of the value is out: only the close can say that the rest will not come.
@@ -492,6 +545,7 @@
   if (client->ending || client->closed) return;
   client->ending = true;
   client->ending_since = clock_.Now();
+  client->room.reset();
   client->reader = pg::MessageReader(false);  // what it has sent is not kept while it takes its leave
   pg::AppendError(client->out, "FATAL", code, message, detail);
   Write(client);
@@ -515,6 +569,7 @@
   client->socket.close(ignored);
   buffered_ -= std::exchange(client->counted, 0);
   client->transfer.reset();
+  client->room.reset();
   if (const RequestId request = client->request; request != 0) {
     asking_.erase(request);
     EndRequest(client);
@@ -523,14 +578,16 @@
   clients_.erase(ClientPtr(client));
 }
 
-// Those that never asked anything though they had time to go first, then whoever has been idle longest. One
-// that has only just connected is about to ask: shed for the next one, it would come back, and so would that
-// one.
+// Those that never asked anything though they had time to go first, then those that asked once, since many
+// hold their connection for good after that; then the rest, whoever has been idle longest first. Last of all
+// goes one that has only just connected and is about to ask: it would come back, and so would the one for
+// which that one is shed.
 bool ClientFront::ShedIdle(Micros least_idle) {
   const Micros now = clock_.Now();
   const auto rank = [now](const ClientPtr& client) {
     const bool mute = !client->asked && now - client->connected > kTimeToAsk;
-    return std::pair(!mute, client->last_active);
+    const int order = mute ? 0 : client->answered == 1 ? 1 : client->asked ? 2 : 3;
+    return std::pair(order, client->last_active);
   };
   const auto before = [&](const ClientPtr& a, const ClientPtr& b) { return rank(a) < rank(b); };
   std::vector<ClientPtr> oldest;
@@ -601,10 +658,9 @@
     }
     // Silence, or half a message: whoever means to ask has done so by now.
     const bool partial = client->reader.buffered() > 0;
-    const Micros since = client->asked ? client->message_since : client->connected;
-    if ((!client->asked || partial) && now - since > kFirstRequestWithin) {
+    if (const char* reason = TooLate(*client)) {
       ++counters_.silent;
-      EndWith(client, "08P01", "no whole message came in time");
+      EndWith(client, client->awaits_room ? "53300" : "08P01", reason);
       continue;
     }
     std::error_code ignored;
@@ -616,6 +672,20 @@
   }
 }
 
+const char* ClientFront::TooLate(const Client& client) const {
+  const Micros now = clock_.Now();
+  const bool partial = client.reader.buffered() > 0;
+  if (client.awaits_room)
+    return now - client.last_active > kLongestRoomWait ? "no room for so much" : nullptr;
+  if (!partial && client.asked) return nullptr;
+  // Of a message whose head is there each piece counts, before that only the whole head.
+  const bool comes = partial && client.reader.Wanted() > 0;
+  const Micros since = comes ? client.last_active : partial ? client.message_since : client.heard;
+  const bool late =
+      now - since > kFirstRequestWithin || (partial && now - client.message_since > kLongestMessage);
+  return late ? "no whole message came in time" : nullptr;
+}
+
 void ClientFront::Stop() {
   std::error_code ignored;
   acceptor_.close(ignored);
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +16,7 @@
 #include "src/exchange/exchange.hpp"
 #include "src/net/clock.hpp"
 #include "src/net/service.hpp"
+#include "src/net/statement_budget.hpp"
 #include "src/pg/statement.hpp"
 #include "src/pg/wire.hpp"
 
@@ -22,8 +24,11 @@
 
 struct FrontLimits {
   std::size_t most_clients = 0;
-  std::size_t kept_clients = 0;   // from so many on each new one takes the place of an idle one
-  std::size_t most_buffered = 0;  // bytes of all clients together: unread ones, and as many under way
+  // Requests; clients may hold no more connections for them than a third of the descriptors.
+  std::size_t most_open = 0;
+  std::size_t kept_clients = 0;      // from so many on each new one takes the place of an idle one
+  std::size_t most_buffered = 0;     // bytes of all clients together: unread ones, and as many under way
+  std::size_t large_statements = 0;  // bytes of those that room is set aside for
 };
 
 struct FrontOptions {
@@ -71,6 +76,11 @@
   void Read(const ClientPtr& client);
   void Process(const ClientPtr& client);
   void ProcessLater(const ClientPtr& client);
+  // Sets room aside for a large statement that has begun to come; false: it has to wait for it, unread.
+  bool MakeRoom(const ClientPtr& client);
+  void OnRoom();
+  // Why the client is let go now; null: it is not.
+  const char* TooLate(const Client& client) const;
   void OnStartup(const ClientPtr& client, std::string_view body);
   void OnMessage(const ClientPtr& client, char type, std::string_view body);
   void OnQuery(const ClientPtr& client, std::string_view text);
@@ -102,6 +112,9 @@
   std::unordered_set<std::string> open_ids_;
   ClassNames classes_, tenants_;
   bool accepting_ = false;
+  StatementBudget budget_;
+  std::deque<std::weak_ptr<Client>> awaiting_room_;
+  bool room_posted_ = false;
   std::size_t buffered_ = 0, carried_ = 0;  // bytes not read as messages yet; statements under way
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -19,10 +19,14 @@
 // socket, discovery, and clients that are being told that there is no room.
 constexpr int kOwnDescriptors = 48;
 constexpr double kClientShare = 0.55;
+// Open requests; the rest of the third is for those that come meanwhile.
+constexpr double kOpenShare = 0.25;
 // Clients hold a third of the descriptors for requests at most; idle ones are closed well before.
 constexpr double kKeptShare = 0.25;
 // Share of the memory that clients' unread bytes may take, and as much again their statements under way.
 constexpr std::size_t kBufferedShare = 8;
+// And the share that large statements may take.
+constexpr double kStatementShare = 0.375;
 // Handlers run in one turn at most, so that timers and commands are not kept waiting by a busy socket.
 constexpr int kHandlersATurn = 64;
 // The end comes by force at the earliest this long after SIGTERM and the longest deadline, which counts as 3
@@ -65,7 +69,10 @@
   const auto most = static_cast<std::size_t>(kClientShare * sockets);
   const auto kept = static_cast<std::size_t>(kKeptShare * config.sockets);
   const auto bytes = static_cast<std::size_t>(share * static_cast<double>(config.memory_bytes));
-  return {{most, std::min(most, kept), bytes / kBufferedShare}, static_cast<std::size_t>(sockets) - most};
+  const auto statements = static_cast<std::size_t>(kStatementShare * static_cast<double>(bytes));
+  const auto open = static_cast<std::size_t>(kOpenShare * share * config.sockets);
+  return {{most, std::min(most, open), std::min(most, kept), bytes / kBufferedShare, statements},
+          static_cast<std::size_t>(sockets) - most};
 }
 
 Micros LongestDeadline(const Settings& settings) {
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -57,7 +57,8 @@
   std::size_t value_left = 0;
   bool paused = false;
   Micros last_bytes = 0;
-  std::string out;
+  std::string out, wait;
+  std::shared_ptr<const Payload> payload;  // while it is being written
   std::array<char, kReadSize> in{};
 };
 
@@ -295,19 +296,26 @@
   link->value_left = 0;
   link->written = false;
   busy_[job.ticket] = link;
-  std::string text(kProbeQuery);
-  if (job.payload) text = job.payload->WithWait(std::max<Micros>(1, (job.give_up - clock_.Now()) / 1000));
-  text.push_back('\0');
+  // The client's bytes go out from where they are held, but for the wait.
+  static const Payload probe{std::string(kProbeQuery), kProbeQuery.size(), 0};
+  link->payload = job.payload;
+  const Payload& payload = job.payload ? *job.payload : probe;
+  link->wait.clear();
+  if (job.payload) link->wait = std::to_string(std::max<Micros>(1, (job.give_up - clock_.Now()) / 1000));
+  const std::string_view before = payload.Before(), behind = payload.Behind();
   link->out.clear();
-  pg::AppendMessage(link->out, 'Q', text);
+  pg::AppendHead(link->out, 'Q', before.size() + link->wait.size() + behind.size() + 1);
+  const std::array<asio::const_buffer, 5> parts = {asio::buffer(link->out), asio::buffer(before),
+                                                   asio::buffer(link->wait), asio::buffer(behind),
+                                                   asio::buffer("", 1)};
   const Ticket ticket = job.ticket;
-  asio::async_write(link->socket, asio::buffer(link->out),
-                    [this, link, ticket](std::error_code error, std::size_t) {
-                      if (!error) exchange_.Written(ticket);
-                      if (link->state != Connection::State::kBusy || link->ticket != ticket) return;
-                      if (error) return OnBroken(link);
-                      link->written = true;
-                    });
+  asio::async_write(link->socket, parts, [this, link, ticket](std::error_code error, std::size_t) {
+    if (!error) exchange_.Written(ticket);
+    if (link->ticket == ticket) link->payload.reset();
+    if (link->state != Connection::State::kBusy || link->ticket != ticket) return;
+    if (error) return OnBroken(link);
+    link->written = true;
+  });
 }
 
 void ServerPool::OnBroken(const Link& link) {
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -44,9 +44,11 @@
   sql.remove_prefix(end + 1);
   return true;
 }
+// Values have millions of digits.
+bool IsHexDigit(char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F'); }
 bool IsBytes(std::string_view value) {
   return value.starts_with("\\x") && value.size() % 2 == 0 &&
-         value.find_first_not_of("0123456789abcdefABCDEF", 2) == std::string_view::npos;
+         std::all_of(value.begin() + 2, value.end(), IsHexDigit);
 }
 // The two forms that clients send.
 bool ParseSql(std::string_view sql, Statement& result) {
--- a/src/pg/wire.cpp
+++ b/src/pg/wire.cpp
@@ -66,6 +66,23 @@
   return Message{startup_ ? '\0' : rest[0], rest.substr(head, whole - head)};
 }
 
+std::size_t MessageReader::Wanted() const {
+  const std::string_view rest = std::string_view(bytes_).substr(taken_);
+  const std::size_t head = startup_ ? 4 : 5;
+  return rest.size() < head ? 0 : ReadU32(rest, head - 4) + head - 4;
+}
+
+std::string MessageReader::TakeBody(std::string_view body) {
+  if (body.size() <= kKeptCapacity) return std::string(body);
+  const auto from = static_cast<std::size_t>(body.data() - bytes_.data());
+  const std::size_t size = body.size();
+  std::string whole = std::exchange(bytes_, bytes_.substr(taken_));
+  taken_ = 0;
+  whole.resize(from + size);
+  whole.erase(0, from);
+  return whole;
+}
+
 std::optional<std::size_t> MessageReader::NextLargeRow() {
   const std::string_view rest = std::string_view(bytes_).substr(taken_);
   const std::size_t head = 1 + kRowHead;
@@ -141,9 +158,13 @@
   return text;
 }
 
-void AppendMessage(std::string& out, char type, std::string_view body) {
+void AppendHead(std::string& out, char type, std::size_t body_size) {
   out.push_back(type);
-  AppendU32(out, body.size() + 4);
+  AppendU32(out, body_size + 4);
+}
+
+void AppendMessage(std::string& out, char type, std::string_view body) {
+  AppendHead(out, type, body.size());
   out += body;
 }
 
--- a/src/pg/wire.hpp
+++ b/src/pg/wire.hpp
@@ -18,12 +18,15 @@
   using std::runtime_error::runtime_error;
 };
 
-// A value has 64 KiB at most; as hex digits in a statement it takes twice that.
+// What is read of a client without room being set aside for it: a value of 64 KiB, which as hex digits in a
+// statement takes twice that.
 inline constexpr std::size_t kLargestMessage = std::size_t{192} << 10;
 inline constexpr std::size_t kLargestStartup = 10000;
 // A value up to this size is held until its answer is whole; a larger one is passed on as it comes.
 inline constexpr std::size_t kLargestHeld = std::size_t{64} << 10;
 inline constexpr std::size_t kLargestValue = std::size_t{4} << 20;
+// The same for a statement that holds the largest value.
+inline constexpr std::size_t kLargestStatement = 2 * kLargestValue + (std::size_t{8} << 10);
 // What a row's length counts beside the value of its one column.
 inline constexpr std::size_t kRowHead = 10;
 
@@ -48,6 +51,11 @@
   void Feed(std::string_view bytes);
   // The next whole message; throws ProtocolError where a length is impossible.
   std::optional<Message> Next();
+  // How many bytes the message that is being gathered has in all; 0: its head is not there yet.
+  std::size_t Wanted() const;
+  void Reserve(std::size_t size) { bytes_.reserve(taken_ + size); }
+  // The body of the message read last, taken out of the reader without a second copy where it is large.
+  std::string TakeBody(std::string_view body);
   // Where the next message is a row whose value is not held: the size of that value. Its head is taken then,
   // and the value follows by TakeValue. Throws where the row has not just one column that fills it.
   std::optional<std::size_t> NextLargeRow();
@@ -85,6 +93,8 @@
 std::string_view ParseQuery(std::string_view body);
 
 void AppendMessage(std::string& out, char type, std::string_view body);
+// Of a message whose body of that size follows by itself.
+void AppendHead(std::string& out, char type, std::size_t body_size);
 void AppendStartup(std::string& out, std::string_view user, std::string_view database);
 void AppendParameterStatus(std::string& out, std::string_view name, std::string_view value);
 void AppendReady(std::string& out);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -36,7 +36,8 @@
  public:
   explicit Peer(tcp::socket socket, bool startup_first)
       : socket_(std::move(socket)),
-        reader_(startup_first ? pg::MessageReader(true) : pg::MessageReader::ForAnswers()) {
+        reader_(startup_first ? pg::MessageReader(true, pg::kLargestStatement)
+                              : pg::MessageReader::ForAnswers()) {
     const timeval limit{30, 0};
     setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   }
@@ -399,6 +400,47 @@
   EXPECT_EQ(first.UntilReady()[0].first, 'T');
 }
 
+// Guards against a pooled connection being closed for one that its client keeps for nothing.
+TEST(Node, WhoAskedOnceMakesRoomBeforeWhoAsksAgain) {
+  ScriptedServer server([](const std::string&) { return Row("v"); });
+  Running node({server.port()}, 64);
+  Peer pooled = node.Session();
+  for (const char* id : {"a", "b"}) {
+    pooled.Write(Ask(id));
+    EXPECT_EQ(pooled.UntilReady()[0].first, 'T');
+  }
+  std::vector<Peer> once;
+  for (int i = 0; i < 16; ++i) {
+    once.push_back(node.Session());
+    once.back().Write(Ask(std::to_string(i)));
+    EXPECT_EQ(once.back().UntilReady()[0].first, 'T');
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(250));  // then they have surely been idle
+  Peer next = node.Session();
+  EXPECT_EQ(once[0].Next().first, '\0');
+  pooled.Write(Ask("c"));
+  EXPECT_EQ(pooled.UntilReady()[0].first, 'T');
+}
+
+// Guards against open requests that take up all that clients may hold, so that nobody can even ask.
+TEST(Node, MoreOpenRequestsThanClientsMayHoldAreTurnedAway) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string&) {
+    const std::lock_guard wait(gate);
+    return Row("v");
+  });
+  Running node({server.port()}, 64);
+  std::vector<Peer> asking;
+  for (int i = 0; i < 17; ++i) {
+    asking.push_back(node.Session());
+    asking.back().Write(Ask(std::to_string(i)));
+  }
+  EXPECT_EQ(CodeOf(asking.back().UntilReady()), "53300");
+  gate.unlock();
+  EXPECT_EQ(asking[0].UntilReady()[0].first, 'T');
+}
+
 // Guards against answers piling up for a client that asks on and on and reads nothing.
 TEST(Node, AClientThatDoesNotReadIsHeldUp) {
   ScriptedServer server([](const std::string&) { return Row(std::string(60000, 'v')); });
@@ -461,6 +503,81 @@
   }
 }
 
+// Guards against large statements copied time and again, refused, changed on their way, or holding up small
+// ones while there is no room for them.
+TEST(Node, LargeStatementsWaitForRoomAndGoThroughUnchanged) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string& query) {
+    if (query.starts_with("INSERT")) const std::lock_guard wait(gate);
+    std::string answer = Row("for " + query.substr(query.find("id="), 4));
+    return answer.replace(answer.find("standby"), 7, "primary");
+  });
+  // Room for two of them.
+  Running node({server.port()}, 256, 1, [](Config& config) {
+    config.settings.classes[0].freshness = Freshness::kAny;
+    config.settings.classes.push_back(config.settings.classes[0]);
+    config.settings.classes[1].name = "put";
+    config.settings.classes[1].freshness = Freshness::kWrite;
+    config.settings.listed_role = ListedRole::kStart;
+    config.known.servers[0].leads = true;
+    config.memory_bytes = std::size_t{48} << 20;
+  });
+  const std::string digits(std::size_t{8} << 20, 'a');
+  const auto statement = [&](const std::string& id) {
+    return "INSERT INTO rows (handle, blob) VALUES ('k', '\\x" + digits + "') RETURNING blob /* id=" + id +
+           ",c=put,d=20000,cluster=0 */";
+  };
+  std::vector<Peer> writers;
+  std::vector<std::thread> sending;
+  for (int i = 0; i < 4; ++i) writers.push_back(node.Session());
+  for (int i = 0; i < 4; ++i) {
+    sending.emplace_back(
+        [&, i] { writers[static_cast<std::size_t>(i)].Write(Query(statement(std::to_string(i)))); });
+  }
+  while (server.queries().size() < 2) std::this_thread::yield();
+  Peer reader = node.Session();
+  reader.Write(Ask("r"));
+  EXPECT_EQ(reader.UntilReady()[0].first, 'T');
+  EXPECT_NE(node.Call("GET", "/control/counters").find("in_progress=2\n"), std::string::npos);
+  gate.unlock();
+  for (std::thread& t : sending) t.join();
+  for (std::size_t i = 0; i < 4; ++i) {
+    const Messages m = writers[i].UntilReady();
+    ASSERT_EQ(m.size(), 4u) << CodeOf(m) << " " << i;
+    EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "for id=" + std::to_string(i));
+  }
+  for (const std::string& query : server.queries()) {
+    if (!query.starts_with("INSERT")) continue;
+    const std::string sent = statement(query.substr(query.find("id=") + 3, 1));
+    EXPECT_TRUE(query.substr(0, query.find(",d=")) == sent.substr(0, sent.find(",d=")));
+    EXPECT_EQ(query.substr(query.find(",cluster")), ",cluster=0 */");
+  }
+}
+
+// Guards against a statement too large for all there is waiting for ever, and room that is never given back.
+TEST(StatementBudget, GivesRoomBackAndLetsTheLargestPass) {
+  int released = 0;
+  StatementBudget::Room outlives;
+  {
+    StatementBudget budget(100);
+    budget.OnRelease([&] { ++released; });
+    StatementBudget::Room a = budget.Reserve(60);
+    ASSERT_TRUE(a);
+    EXPECT_FALSE(budget.Reserve(41));
+    const StatementBudget::Room copy = a;
+    a.reset();
+    EXPECT_EQ(budget.held(), 60u);
+    EXPECT_TRUE(budget.Reserve(40));
+    EXPECT_EQ(released, 1);
+    outlives = copy;
+  }
+  StatementBudget small(10);
+  EXPECT_TRUE(small.Reserve(50));
+  outlives.reset();
+  EXPECT_EQ(released, 1);
+}
+
 // Discovery for one watch: keeps what was asked, tells the one server, in pieces, and stays open.
 class Agent {
  public:
@@ -729,7 +846,7 @@
   LoopClock clock;
   Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
   const Service service;
-  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 4, 1 << 20}});
+  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 4, 1 << 20}});
   front.StartAccepting();
   std::vector<tcp::socket> clients;
   for (const unsigned wanted : {4u, 8u}) {
--- a/tests/pg_test.cpp
+++ b/tests/pg_test.cpp
@@ -109,7 +109,7 @@
   const Payload payload{std::string(kSelect), s->wait_at, s->wait_size};
   std::string expected(kSelect);
   expected.replace(expected.find("480"), 3, "77");
-  EXPECT_EQ(payload.WithWait(77), expected);
+  EXPECT_EQ(std::string(payload.Before()) + "77" + std::string(payload.Behind()), expected);
   const auto insert = ParseStatement(
       "INSERT INTO rows (handle, blob) VALUES ('k1', '\\x9f03') RETURNING blob /* id=1,c=w,t=,d=5,k=5c0f,r=1 "
       "*/ ; ");
