Find idle clients for many places at one look, and end a stop when nobody is owed an answer

Lines at fault: Admit said 53300 before the class was known, so that no figure could count it; ShedIdle looked at all clients for each new one, and took those that had not asked yet; Node::EndTurn waited for every client's close.

Changed: a look at all finds 32 candidates, checked again when their turn comes; a message stopped half way for 0.7 s may be shed last; whoever has no place is refused once it has said for what, or after 0.2 s; a stop ends when nobody is owed an answer, a word, or 2.2 s for what it has begun to send.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <stdexcept>
 #include <system_error>
+#include <tuple>
 #include <utility>
 
 #include "src/net/log.hpp"
@@ -38,7 +39,11 @@
 constexpr Micros kIdle = 10'000'000;
 // When places are short, a client that has asked nothing for so long since it connected goes before all
 // others.
-constexpr Micros kTimeToAsk = 500'000;
+constexpr Micros kTimeToAsk = 200'000;
+// So may one that has stopped half way through a message for so long, when nobody else is left to go.
+constexpr Micros kStopsHalfWay = 700'000;
+// One for which there is no place has so long to say what is refused it.
+constexpr Micros kTimeToBeRefused = 200'000;
 // Statements in a row that cannot be used, after which a client is taken for one that will never do better.
 constexpr int kMostRefusals = 8;
 // Messages of one client handled in a turn, so that a long queue of them does not hold up the others.
@@ -50,8 +55,9 @@
 // While there is room, only those go that were idle for so long: one that has just had its answer is about to
 // be asked on again, and that request would cross its close.
 constexpr Micros kSurelyIdle = 200'000;
-// Candidates looked at closely when a place is wanted.
-constexpr int kShedTries = 4;
+// How many idle clients one look at all of them finds, and how long it is until the next look.
+constexpr std::size_t kShedBatch = 32;
+constexpr Micros kLookPause = 5'000;
 // Clients beyond the limit that are still being told so; any more are told and closed in one go.
 constexpr std::size_t kMostTurnedAway = 16;
 constexpr std::string_view kTooMany = "too many connections";
@@ -59,6 +65,8 @@
 constexpr auto kSweepEvery = std::chrono::milliseconds(100);
 // How long a client may take to read the last words to it and close.
 constexpr Micros kLinger = 1'000'000;
+// And how long a process that ends waits for that, so that its successor can begin.
+constexpr Micros kLastWords = 100'000;
 
 std::uint64_t KeyOf(std::string_view text) {
   if (text.empty()) return 0;
@@ -82,8 +90,9 @@
   std::string open_id;                 // what the client calls it
   std::shared_ptr<Transfer> transfer;  // the value that is being passed on to it
   int answered = 0;
-  int refusals = 0;    // statements in a row that could not be used
-  bool asked = false;  // it has sent something whole since it started
+  int refusals = 0;       // statements in a row that could not be used
+  bool no_place = false;  // it is turned away, once it has said for what
+  bool asked = false;     // it has sent something whole since it started
   std::size_t discarded = 0;
   Micros connected = 0, last_active = 0, ending_since = 0;
   Micros heard = 0;          // when it connected, or its startup was whole
@@ -196,10 +205,8 @@
   const auto client = std::make_shared<Client>(std::move(socket));
   client->connected = client->heard = client->last_active = client->message_since = clock_.Now();
   clients_.insert(client);
-  if (!room) {
-    ++counters_.turned_away;
-    EndWith(client, "53300", kTooMany);
-  }
+  client->no_place = !room;
+  if (!room) ++counters_.turned_away;
   Read(client);
 }
 
@@ -391,6 +398,10 @@
     return pg::AppendReady(client->out);
   }
   client->refusals = 0;
+  if (client->no_place) {
+    exchange_.CountTurnedAway(class_index, Refused{});
+    return EndWith(client, "53300", kTooMany, RetryWhenCrowded(class_index));
+  }
   if (service_.Refuses(clock_.Now())) {
     exchange_.CountTurnedAway(class_index, Refused{});
     return EndWith(client, "57P03", "out of service: trying again is harmless",
@@ -590,29 +601,46 @@
 // which that one is shed.
 bool ClientFront::ShedIdle(Micros least_idle) {
   const Micros now = clock_.Now();
-  const auto rank = [now](const ClientPtr& client) {
-    const bool mute = !client->asked && now - client->connected > kTimeToAsk;
-    const int order = mute ? 0 : client->answered == 1 ? 1 : client->asked ? 2 : 3;
-    return std::pair(order, client->last_active);
-  };
-  const auto before = [&](const ClientPtr& a, const ClientPtr& b) { return rank(a) < rank(b); };
-  std::vector<ClientPtr> oldest;
-  for (const ClientPtr& client : clients_) {
-    if (client->request != 0 || client->writing || client->ending || client->reader.buffered() > 0) continue;
-    if (now - client->last_active < least_idle) continue;
-    if (oldest.size() == kShedTries && !before(client, oldest.back())) continue;
-    oldest.insert(std::upper_bound(oldest.begin(), oldest.end(), client, before), client);
-    if (oldest.size() > kShedTries) oldest.pop_back();
+  for (bool looked = false;; looked = true) {
+    while (!to_shed_.empty()) {
+      const ClientPtr client = to_shed_.front().client.lock();
+      const Micros last_active = to_shed_.front().last_active;
+      // It may have asked since it was looked at.
+      std::error_code error;
+      const bool same = client && client->last_active == last_active && client->request == 0 &&
+                        !client->writing && !client->ending && !client->closed &&
+                        client->socket.available(error) == 0;
+      if (same && now - last_active < least_idle) return false;
+      to_shed_.pop_front();
+      if (!same) continue;
+      ++counters_.shed;
+      Close(client);
+      return true;
+    }
+    if (looked || now < next_look_) return false;
+    LookForIdle();
   }
-  for (const ClientPtr& client : oldest) {
-    // What has arrived and was not read yet is a request like any other.
-    std::error_code error;
-    if (client->socket.available(error) > 0) continue;
-    ++counters_.shed;
-    Close(client);
-    return true;
+}
+
+// A look at all clients serves many that come: in a crowd there is no time for one each.
+void ClientFront::LookForIdle() {
+  const Micros now = clock_.Now();
+  using Ranked = std::tuple<int, Micros, ClientPtr>;
+  std::vector<Ranked> idle;
+  for (const ClientPtr& client : clients_) {
+    if (client->request != 0 || client->writing || client->ending || client->awaits_room) continue;
+    const bool partial = client->reader.buffered() > 0;
+    if (partial && now - client->last_active < kStopsHalfWay) continue;
+    const bool mute = !client->asked && now - client->connected > kTimeToAsk;
+    const int order = partial ? 3 : mute ? 0 : client->answered == 1 ? 1 : client->asked ? 2 : 4;
+    idle.emplace_back(order, client->last_active, client);
   }
-  return false;
+  const std::size_t most = std::min(idle.size(), kShedBatch);
+  std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(most), idle.end());
+  to_shed_.clear();
+  for (std::size_t i = 0; i < most; ++i)
+    to_shed_.push_back({std::get<ClientPtr>(idle[i]), std::get<Micros>(idle[i])});
+  next_look_ = now + kLookPause;
 }
 
 bool ClientFront::Idle(const Client& client) const {
@@ -622,6 +650,19 @@
   return client.reader.buffered() == 0 && client.socket.available(error) == 0;
 }
 
+// Whether somebody is owed anything: an answer, one that is not all sent, or the time to end what it has
+// begun.
+bool ClientFront::Owes(Micros patience) const {
+  const Micros now = clock_.Now();
+  return std::any_of(clients_.begin(), clients_.end(), [&](const ClientPtr& client) {
+    if (client->request != 0 || client->unsent() > 0 || client->queued) return true;
+    if (client->ending) return now - client->ending_since < kLastWords;
+    std::error_code error;
+    return now - client->connected < patience || client->socket.available(error) > 0 ||
+           (client->reader.buffered() > 0 && now - client->message_since < patience);
+  });
+}
+
 void ClientFront::StopAccepting() {
   accepting_ = false;
   while (acceptor_.is_open()) {
@@ -664,6 +705,10 @@
     }
     // Silence, or half a message: whoever means to ask has done so by now.
     const bool partial = client->reader.buffered() > 0;
+    if (client->no_place && now - client->connected > kTimeToBeRefused) {
+      EndWith(client, "53300", kTooMany);
+      continue;
+    }
     if (const char* reason = TooLate(*client)) {
       ++counters_.silent;
       EndWith(client, client->awaits_room ? "53300" : "08P01", reason);
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -58,6 +58,7 @@
   // Takes in what has connected already and accepts nothing more.
   void StopAccepting();
   void Resize(const FrontLimits& limits);
+  bool Owes(Micros patience) const;
   void Stop();
   // Closes an idle client, if there is one that has been idle for so long.
   bool ShedIdle(Micros least_idle = 0);
@@ -95,6 +96,7 @@
                std::string_view detail = {});
   // Nothing is under way for it, and nothing that it sent is still to be read.
   bool Idle(const Client& client) const;
+  void LookForIdle();
   void Finish(const ClientPtr& client);
   void Close(const ClientPtr& client);
   void Sweep();
@@ -113,6 +115,13 @@
   std::unordered_set<std::string> open_ids_;
   ClassNames classes_, tenants_;
   bool accepting_ = false;
+  // Idle clients, the first to go first, as the last look at all of them found them.
+  struct Candidate {
+    std::weak_ptr<Client> client;
+    Micros last_active = 0;
+  };
+  std::deque<Candidate> to_shed_;
+  Micros next_look_ = 0;
   StatementBudget budget_;
   std::deque<std::weak_ptr<Client>> awaiting_room_;
   bool room_posted_ = false;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -35,6 +35,8 @@
 constexpr Micros kLongestCounted = 3'000'000;
 constexpr Micros kAnswerMargin = 300'000;
 constexpr Micros kExitMargin = 150'000;
+// A stop waits so long for a message that has begun to come.
+constexpr Micros kSlowest = 2'200'000;
 // While two processes of this router run, each has this part of the descriptors and the memory.
 constexpr double kShareBeside = 0.5;
 // Connections to servers that the older process keeps beside one for each request, and how often it looks.
@@ -254,13 +256,17 @@
   }
   if (!stop_asked_) return;
   const Micros since = clock_.Now() - *stop_asked_;
+  const bool alone = service_.state() != Service::State::kHandedOver;
   if (service_.WindowOver(clock_.Now()) && listening_) {
     listening_ = false;
     // What waits in a shared listening socket is the other process's.
     if (service_.state() != Service::State::kHandedOver) front_.StopAccepting();
     LogLine("draining: " + std::to_string(exchange_.live()) + " requests are still out");
   }
-  done_ = (!listening_ && front_.clients() == 0) || since >= stop_plan_.exit_by;
+  // Others may be stopped in turn, and this one's successor begins when it has ended: it stays for nobody who
+  // only holds a connection.
+  done_ = (!listening_ && (front_.clients() == 0 || (alone && !front_.Owes(kSlowest)))) ||
+          since >= stop_plan_.exit_by;
   if (done_) handover_.Stop();
   if (!done_) {
     stop_timer_.expires_after(std::chrono::milliseconds(10));
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -806,6 +806,24 @@
   std::filesystem::remove_all(folder);
 }
 
+// Guards against a stop that waits for clients that only hold a connection, and so keeps its successor
+// waiting.
+TEST(Node, AStopStaysForNobodyWhoOnlyHoldsAConnection) {
+  ScriptedServer server([](const std::string&) { return Row("v"); });
+  Running node({server.port()});
+  std::vector<Peer> holding;
+  for (int i = 0; i < 8; ++i) {
+    holding.push_back(node.Session());
+    holding.back().Write(Ask(std::to_string(i)));
+    EXPECT_EQ(holding.back().UntilReady()[0].first, 'T');
+  }
+  Peer half = node.Session();
+  half.Write(Ask("x").substr(0, 30));
+  const auto begin = std::chrono::steady_clock::now();
+  node.Stop();  // the longest deadline is 20 s; nobody closes by himself
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::milliseconds(3300));
+}
+
 // Guards against being killed with a request unanswered: a deadline over 3 s is not waited for.
 TEST(Node, AStopAnswersAllBeforeTheEndByForce) {
   Settings settings;
