Turn no new client away while an idle one holds a place, however fast they come

Seen: a run of the tests from a clean clone: Node.IdleClientsMakeRoomForNewOnes got 53300 for the last of 61 clients. Line at fault: ClientFront::LookForIdle waited 5 ms until its next look even when the last one had found idle clients and all of them were shed by then. It now waits only where it found none.

Test: 40 clients in one moment of a clock that stands still, on four places: 36 are shed, none turned away.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -55,7 +55,8 @@
 // While there is room, only those go that were idle for so long: one that has just had its answer is about to
 // be asked on again, and that request would cross its close.
 constexpr Micros kSurelyIdle = 200'000;
-// How many idle clients one look at all of them finds, and how long it is until the next look.
+// How many idle clients one look at all of them finds, and how long it is until the next one where there are
+// none.
 constexpr std::size_t kShedBatch = 32;
 constexpr Micros kLookPause = 5'000;
 // Clients beyond the limit that are still being told so; any more are told and closed in one go.
@@ -640,7 +641,8 @@
   to_shed_.clear();
   for (std::size_t i = 0; i < most; ++i)
     to_shed_.push_back({std::get<ClientPtr>(idle[i]), std::get<Micros>(idle[i])});
-  next_look_ = now + kLookPause;
+  // While some were found each look serves as many; none may be turned away for want of another.
+  next_look_ = idle.empty() ? now + kLookPause : now;
 }
 
 bool ClientFront::Idle(const Client& client) const {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -882,6 +882,23 @@
   front.Stop();
 }
 
+// Guards against new clients turned away in a rush although idle ones hold the places: time stands still
+// here.
+TEST(ClientFront, InARushEachNewClientTakesThePlaceOfAnIdleOne) {
+  asio::io_context io;
+  LoopClock clock;
+  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
+  const Service service;
+  ClientFront front(io, clock, exchange, service, {Loopback(0), {4, 4, 4, 1 << 20}});
+  front.StartAccepting();
+  std::vector<tcp::socket> clients;
+  for (int i = 0; i < 40; ++i) clients.emplace_back(io).connect(Loopback(front.port()));
+  while (front.counters().accepted < 40) io.run_one();
+  EXPECT_EQ(front.counters().turned_away, 0u);
+  EXPECT_EQ(front.counters().shed, 36u);
+  front.Stop();
+}
+
 // Guards against a list lost between chunks: lines come out whole, however the answer is cut.
 TEST(WatchParser, RandomCutsGiveTheSameLines) {
   const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
