Serve from servers known by DNS-SD records alone: browser, membership, CLI and logging

Need: installations with DNS tell each router by hand which servers there are. Change: src/dnssd reads PTR, SRV, TXT and addresses through ldns, in three modes (poll, serial, transfer); src/membership makes one view of registry, static lists and zones; src/net/directory has the sockets. Off unless the configuration has 'membership'. A delta that removes one server no longer walks the whole list. Of an address that moves, the server gets a new number, so that the old one's position is not believed of it.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "src/config/checked.hpp"
 #include "src/config/listing_json.hpp"
 #include "src/config/settings.hpp"
 
@@ -92,6 +93,16 @@
     config.connect_timeout = policy.value("connect_timeout", kDefaultConnectTimeout);
     config.idle_close = policy.value("idle_close", kDefaultIdleClose);
     config.max_open = static_cast<std::size_t>(std::max(0.0, policy.value("max_open", 0.0)));
+    if (json.contains("membership")) {
+      config.directory = DirectoryFrom(json.at("membership"), "membership", config.settings);
+      // What the list last was is the registry's word; without it nobody would ever take it back.
+      if (config.directory.registry() < 0) config.known = Listing();
+    }
+    if (json.contains("log")) {
+      CheckedObject log(json.at("log"), "log");
+      config.log_json = log.Choice("form", {"text", "json"}, 0) == 1;
+      log.Done();
+    }
     return config;
   } catch (const Json::exception& error) {
     throw std::runtime_error(std::string("the configuration lacks something or has it in the wrong form: ") +
@@ -102,11 +113,22 @@
 Config ReloadConfig() {
   const char* path = std::getenv("LB_CONFIG");
   if (!path || !*path) throw std::runtime_error("LB_CONFIG names no configuration file");
+  return ParseConfig(ReadFile(path));
+}
+
+std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
   std::stringstream text;
   text << file.rdbuf();
-  if (!file) throw std::runtime_error(std::string("cannot read ") + path);
-  return ParseConfig(text.str());
+  if (!file) throw std::runtime_error("cannot read " + path);
+  return text.str();
+}
+
+void CheckComplete(const Config& config) {
+  SplitAddress(config.listen);
+  // The registry's address is wanted where the registry is a source.
+  if (!config.directory.on() || config.directory.registry() >= 0) SplitAddress(config.discovery);
+  if (!config.operators.empty()) SplitAddress(config.operators);
 }
 
 Config LoadConfig() {
@@ -128,9 +150,7 @@
       throw std::runtime_error("LB_ACCEPT_FD is no descriptor: " + held);
     }
   }
-  SplitAddress(config.listen);
-  SplitAddress(config.discovery);
-  if (!config.operators.empty()) SplitAddress(config.operators);
+  CheckComplete(config);
   return config;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "src/config/directory_config.hpp"
 #include "src/exchange/listing.hpp"
 #include "tulipyoke/router.hpp"
 
@@ -26,10 +27,15 @@
   std::vector<std::string> zones, kinds;
   Micros connect_timeout = 0, idle_close = 0;
   std::size_t max_open = 0;
+  DirectoryConfig directory;  // off: the registry alone
+  bool log_json = false;      // log: {"form": "json"}
 };
 
 // Throws std::runtime_error in plain words.
 Config ParseConfig(std::string_view text);
+// As a start would find it: what must be there is, and addresses are some.
+void CheckComplete(const Config& config);
+std::string ReadFile(const std::string& path);
 // Reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_OPERATOR prevail where they
 // are set, and LB_ACCEPT_FD and TMPDIR are told nowhere else.
 Config LoadConfig();
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -364,7 +364,11 @@
   if (listing.complete) {
     std::set<std::string_view> named;
     for (const ListedServer& listed : listing.servers) named.insert(listed.id);
-    Forget([&](const std::string& id) { return !named.contains(id); });
+    std::erase_if(servers_, [&](const auto& entry) {
+      if (named.contains(entry.first)) return false;
+      commands_.push_back(ForgetServer{entry.second.server});
+      return true;
+    });
   }
   for (const ListedServer& listed : listing.servers) {
     const auto found = servers_.find(listed.id);
@@ -386,21 +390,13 @@
     entry.boot_time = listed.started_unix_ms * 1000;
     entry.leads = listed.leads;
     news.entries.push_back(entry);
-    if (listed.state == ServerState::kGone)
-      Forget([&](const std::string& gone) { return gone == listed.id; });
+    if (listed.state != ServerState::kGone) continue;
+    commands_.push_back(ForgetServer{id});
+    servers_.erase(listed.id);
   }
   return news;
 }
 
-template <typename Gone>
-void Exchange::Forget(const Gone& gone) {
-  std::erase_if(servers_, [&](const auto& entry) {
-    if (!gone(entry.first)) return false;
-    commands_.push_back(ForgetServer{entry.second.server});
-    return true;
-  });
-}
-
 void Exchange::Do(Micros now, const Send& action) {
   const auto it = requests_.find(action.id);
   const bool too_many = it != requests_.end() && options_.settings.max_attempts > 0 &&
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -226,8 +226,6 @@
   Micros StartBy(RequestId id, const Request& request) const;
   std::optional<std::int64_t> PositionMs(const Outcome& outcome, bool commit) const;
   Report ReportOf(const Outcome& outcome) const;
-  template <typename Gone>
-  void Forget(const Gone& gone);
   ListNews NewsOf(const Listing& listing, ListKind kind);
 
   void Do(Micros now, const Send& action);
--- a/src/exchange/listing.hpp
+++ b/src/exchange/listing.hpp
@@ -17,6 +17,8 @@
   double capacity_hint = 1;
   std::int64_t started_unix_ms = 0;  // 0: long ago
   bool leads = false;
+
+  bool operator==(const ListedServer&) const = default;
 };
 
 struct Listing {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "src/config/listing_json.hpp"
+#include "src/log/log.hpp"
 #include "src/net/address.hpp"
-#include "src/net/log.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -68,17 +68,17 @@
   std::array<char, kReadSize> in{};
 };
 
-DiscoveryWatch::DiscoveryWatch(asio::io_context& io, LoopClock& clock, Exchange& exchange,
-                               const std::string& address, std::uint64_t version)
+DiscoveryWatch::DiscoveryWatch(asio::io_context& io, Sink sink, const std::string& address,
+                               std::uint64_t version)
     : io_(io),
-      clock_(clock),
-      exchange_(exchange),
-      endpoint_(ToEndpoint(address)),
+      sink_(std::move(sink)),
+      endpoint_(address.empty() ? asio::ip::tcp::endpoint() : ToEndpoint(address)),
       host_(address),
       version_(version),
       silence_(io),
-      retry_(io) {
-  Connect();
+      retry_(io),
+      stopped_(address.empty()) {
+  if (!stopped_) Connect();
 }
 
 void DiscoveryWatch::Connect() {
@@ -126,10 +126,12 @@
     // Versions of two addresses are not comparable: what the former one tells must not be asked of this one.
     if (current) version_ = listing.version;
     if (current) Drop(former_);
-    exchange_.Heard(clock_.Now(), listing);
+    sink_(listing);
   } catch (const std::exception& error) {
     if (counters_.bad_lines++ == 0)
-      LogLine("discovery sent a line that cannot be used: " + std::string(error.what()));
+      LogWarning("discovery_bad_line",
+                 "discovery sent a line that cannot be used: " + std::string(error.what()),
+                 {{"why", error.what()}});
   }
 }
 
@@ -141,7 +143,7 @@
   silence_.cancel();
   ++counters_.lost;
   // Said once an outage: the tries that follow it are counted.
-  if (failures_ == 0) LogLine("discovery watch lost: " + why);
+  if (failures_ == 0) LogWarning("discovery_lost", "discovery watch lost: " + why, {{"why", why}});
   const auto pause = kFirstRetry * (1 << std::min(failures_, kMostDoublings));
   ++failures_;
   retry_.expires_after(pause);
@@ -170,6 +172,7 @@
 }
 
 void DiscoveryWatch::Redirect(const std::string& address) {
+  if (host_.empty()) return;  // the registry is no source of this router's
   endpoint_ = ToEndpoint(address);
   host_ = address;
   version_ = 0;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -7,12 +7,13 @@
 #include <array>
 #include <asio.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
-#include "src/exchange/exchange.hpp"
-#include "src/net/clock.hpp"
+#include "src/exchange/listing.hpp"
 
 namespace tulipyoke::net {
 
@@ -44,8 +45,10 @@
 
 class DiscoveryWatch {
  public:
-  DiscoveryWatch(asio::io_context& io, LoopClock& clock, Exchange& exchange, const std::string& address,
-                 std::uint64_t version);
+  using Sink = std::function<void(const Listing&)>;
+
+  // Without an address there is none to watch.
+  DiscoveryWatch(asio::io_context& io, Sink sink, const std::string& address, std::uint64_t version);
 
   // Asks for the whole list anew.
   void Refresh();
@@ -68,8 +71,7 @@
   void Drop(SessionPtr& session);
 
   asio::io_context& io_;
-  LoopClock& clock_;
-  Exchange& exchange_;
+  Sink sink_;
   asio::ip::tcp::endpoint endpoint_;
   std::string host_;
   std::uint64_t version_;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -13,7 +13,7 @@
 #include <tuple>
 #include <utility>
 
-#include "src/net/log.hpp"
+#include "src/log/log.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -176,7 +176,9 @@
     // Out of descriptors or memory: make room and try again shortly.
     ++counters_.accept_errors;
     const bool gone_already = error == asio::error::connection_aborted;
-    if (!gone_already && !ShedIdle()) LogLine("cannot accept a client: " + error.message());
+    if (!gone_already && !ShedIdle()) {
+      LogWarning("accept_failed", "cannot accept a client: " + error.message(), {{"why", error.message()}});
+    }
     accept_pause_.expires_after(kAcceptPause);
     accept_pause_.async_wait([this](std::error_code failed) {
       if (!failed) Accept();
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "src/net/log.hpp"
+#include "src/log/log.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -110,7 +110,8 @@
   path_ = folder + "/tulipyoke-" + FileNameOf(name) + ".sock";
   own_path_ = path_ + "." + std::to_string(seed) + "." + std::to_string(::getpid());
   if (own_path_.size() < sizeof(sockaddr_un::sun_path)) return;
-  LogLine("no upgrade beside a running process: the folder's name is too long for a socket: " + folder);
+  LogWarning("upgrade_not_possible",
+             "no upgrade beside a running process: the folder's name is too long for a socket: " + folder);
   path_.clear();
 }
 
@@ -143,7 +144,7 @@
     error = std::error_code(errno, std::generic_category());
   }
   if (!error) return Accept();
-  LogLine("a newer process will not find this one: " + error.message());
+  LogWarning("upgrade_not_possible", "a newer process will not find this one: " + error.message());
   ::unlink(own_path_.c_str());
   std::error_code ignored;
   acceptor_.close(ignored);
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -9,8 +9,8 @@
 #include <exception>
 #include <variant>
 
+#include "src/log/log.hpp"
 #include "src/net/address.hpp"
-#include "src/net/log.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -83,6 +83,11 @@
   return deadline;
 }
 
+// Nothing where the registry is no source of this router.
+std::string WatchedAddress(const Config& config) {
+  return config.directory.on() && config.directory.registry() < 0 ? "" : config.discovery;
+}
+
 ExchangeOptions OptionsOf(const Config& config, Micros now) {
   ExchangeOptions options{config.settings, config.seed, config.zones, config.kinds, config.connect_timeout};
   options.settings.reports_are_floats = false;
@@ -108,7 +113,10 @@
       exchange_(OptionsOf(config, clock_.Now())),
       pool_(io_, clock_, exchange_, PoolOptionsOf(config)),
       front_(io_, clock_, exchange_, service_, FrontOptionsOf(config, [this] { handover_.Poll(); })),
-      discovery_(io_, clock_, exchange_, config.discovery, config.known.version),
+      directory_(MakeDirectory()),
+      discovery_(
+          io_, [this](const Listing& listing) { HeardRegistry(listing); }, WatchedAddress(config),
+          config.known.version),
       handover_(io_, config.accept_fd < 0 ? "" : config.temporary, config.name, config.seed,
                 HandoverEvents()),
       due_timer_(io_),
@@ -119,6 +127,7 @@
       stop_plan_(PlanStop(config.settings)) {
   signals_.add(SIGUSR1);
   exchange_.Start(clock_.Now(), config.known);
+  if (directory_ && !config.known.servers.empty()) directory_->Remember(config.known);
   if (!config.operators.empty()) {
     door_.emplace(
         io_, ToEndpoint(config.operators),
@@ -129,7 +138,7 @@
     Serve();
     return;
   }
-  LogLine(config.name + " takes over from a running process");
+  LogInfo("takes_over", config.name + " takes over from a running process", {{"name", config.name}});
   Take(kShareBeside);
   exchange_.TellOthers(true);
   exchange_.SessionsAre(clock_.Now(), {.known = false});
@@ -150,8 +159,24 @@
   handover_.Offer();
   const Config& config = config_;
   const std::string host = SplitAddress(config.listen).host;
-  LogLine(config.name + " serves on " + host + ":" + std::to_string(front_.port()) + ", knows " +
-          std::to_string(config.known.servers.size()) + " servers");
+  const std::string address = host + ":" + std::to_string(front_.port());
+  const std::size_t known = config.known.servers.size();
+  LogInfo("serving", config.name + " serves on " + address + ", knows " + std::to_string(known) + " servers",
+          {{"name", config.name}, {"address", address}, {"servers", static_cast<std::int64_t>(known)}});
+}
+
+std::unique_ptr<Directory> Node::MakeDirectory() {
+  if (!config_.directory.on()) return nullptr;
+  return std::make_unique<Directory>(io_, clock_, config_.directory, [this](const Listing& listing) {
+    exchange_.Heard(clock_.Now(), listing);
+  });
+}
+
+void Node::HeardRegistry(const Listing& listing) {
+  if (directory_)
+    directory_->HeardRegistry(listing);
+  else
+    exchange_.Heard(clock_.Now(), listing);
 }
 
 void Node::Run() {
@@ -185,15 +210,15 @@
   }
   if (step == HandoverStep::kHello) {
     // Room first: together both hold no more than one may.
-    LogLine("a newer process has come: half of the room is left to it");
+    LogInfo("newer_process", "a newer process has come: half of the room is left to it");
     Take(kShareBeside);
     exchange_.TellOthers(true);
     for (const ServerNews& news : exchange_.Shown()) handover_.TellNewer(news);
     for (const SessionNews& news : exchange_.Sessions()) handover_.TellNewer(news);
     handover_.Step(partner, HandoverStep::kSynced);
   } else if (step == HandoverStep::kServing) {
-    LogLine("the newer process takes the clients: " + std::to_string(exchange_.live()) +
-            " requests are still out");
+    LogInfo("handed_over", "the newer process takes the clients: " + std::to_string(exchange_.live()) +
+                               " requests are still out");
     front_.PauseAccepting();
     service_.HandOver(clock_.Now());
     told_holds_ = config_.sockets;
@@ -215,8 +240,8 @@
 // What a partner answered its clients without a word here may be read by nobody too early: until all of it
 // must have ended, and from then on for all sessions that are not known.
 void Node::OnParted(Handover::Partner partner, bool done) {
-  LogLine(std::string("the ") + (partner == Handover::Partner::kOlder ? "older" : "newer") + " process " +
-          (done ? "has ended" : "broke off"));
+  LogInfo("partner_left", std::string("the ") + (partner == Handover::Partner::kOlder ? "older" : "newer") +
+                              " process " + (done ? "has ended" : "broke off"));
   if (handover_.alone()) {
     Take(1);
     exchange_.TellOthers(false);
@@ -261,7 +286,7 @@
     listening_ = false;
     // What waits in a shared listening socket is the other process's.
     if (service_.state() != Service::State::kHandedOver) front_.StopAccepting();
-    LogLine("draining: " + std::to_string(exchange_.live()) + " requests are still out");
+    LogInfo("draining", "draining: " + std::to_string(exchange_.live()) + " requests are still out");
   }
   // Others may be stopped in turn, and this one's successor begins when it has ended: it stays for nobody who
   // only holds a connection.
@@ -288,7 +313,8 @@
   if (const auto* tell = std::get_if<TellPartners>(&command)) {
     return std::visit([this](const auto& news) { handover_.Tell(news); }, tell->news);
   }
-  if (const auto* log = std::get_if<WriteLog>(&command)) return LogLine("decisions: " + log->text);
+  if (const auto* log = std::get_if<WriteLog>(&command))
+    return LogInfo("decision", "decisions: " + log->text);
   discovery_.Refresh();
 }
 
@@ -315,7 +341,7 @@
   stop_asked_ = clock_.Now();
   service_.Stop(*stop_asked_);
   exchange_.EndBy(*stop_asked_ + stop_plan_.answer_by);
-  LogLine("told to stop");
+  LogInfo("told_to_stop", "told to stop");
 }
 
 // Of a new configuration only the address of discovery is taken over: all else was built into what runs.
@@ -323,28 +349,32 @@
   try {
     const std::string address = ReloadConfig().discovery;
     discovery_.Redirect(address);
-    LogLine("configuration read anew: discovery is at " + address);
+    LogInfo("configuration_read", "configuration read anew: discovery is at " + address);
   } catch (const std::exception& error) {
-    LogLine("the new configuration is not used: " + std::string(error.what()));
+    LogWarning("configuration_refused", "the new configuration is not used: " + std::string(error.what()));
   }
 }
 
 Reply Node::AnswerOperator(const std::string& method, const std::string& path) {
-  const std::string wanted = path == "/control/ready" || path == "/control/counters"              ? "GET"
+  const bool reads =
+      path == "/control/ready" || path == "/control/counters" || (directory_ && path == "/control/servers");
+  const std::string wanted = reads                                                                ? "GET"
                              : path == "/control/out-of-service" || path == "/control/in-service" ? "POST"
                                                                                                   : "";
   if (wanted.empty()) return {404, "no such call\n"};
   if (method != wanted) return {405, "this call is a " + wanted + "\n", wanted};
   const Micros now = clock_.Now();
+  if (path == "/control/servers") return {200, ToText(*directory_, now)};
   if (path == "/control/counters") return {200, ToText(exchange_.FiguresAt(now), '\n')};
   if (path == "/control/ready") return service_.ready() ? Reply{200, "yes\n"} : Reply{503, "no\n"};
   if (path == "/control/in-service") {
     if (!service_.PutBack()) return {409, "stopping\n"};
-    LogLine("put back into service");
+    LogInfo("put_back", "put back into service");
     return {200, "in service\n"};
   }
   service_.TakeOut(now);
-  LogLine("taken out of service: " + std::to_string(exchange_.live()) + " requests are still out");
+  LogInfo("taken_out",
+          "taken out of service: " + std::to_string(exchange_.live()) + " requests are still out");
   return {200, "out of service\n"};
 }
 
@@ -355,21 +385,40 @@
   const FrontCounters& f = front_.counters();
   const PoolCounters& p = pool_.counters();
   const DiscoveryCounters& d = discovery_.counters();
-  LogLine("figures: " + ToText(exchange_.FiguresAt(clock_.Now()), ' '));
-  LogLine("requests: " + ToText(exchange_.counters()));
-  LogLine("clients:" + text("open", front_.clients()) + text("accepted", f.accepted) +
-          text("turned_away", f.turned_away) + text("shed", f.shed) + text("idle", f.idle) +
-          text("silent", f.silent) + text("malformed", f.malformed) + text("accept_errors", f.accept_errors));
-  LogLine("servers:" + text("open", pool_.connections()) + text("opened", p.opened) +
-          text("open_failed", p.open_failed) + text("retired", p.retired) + text("given_up", p.given_up) +
-          text("broken", p.broken) + text("garbage", p.garbage) + text("stray", p.stray) +
-          text("no_room", p.no_room));
+  LogInfo("figures", "figures: " + ToText(exchange_.FiguresAt(clock_.Now()), ' '));
+  LogInfo("requests", "requests: " + ToText(exchange_.counters()));
+  LogInfo("clients", "clients:" + text("open", front_.clients()) + text("accepted", f.accepted) +
+                         text("turned_away", f.turned_away) + text("shed", f.shed) + text("idle", f.idle) +
+                         text("silent", f.silent) + text("malformed", f.malformed) +
+                         text("accept_errors", f.accept_errors));
+  LogInfo("servers", "servers:" + text("open", pool_.connections()) + text("opened", p.opened) +
+                         text("open_failed", p.open_failed) + text("retired", p.retired) +
+                         text("given_up", p.given_up) + text("broken", p.broken) +
+                         text("garbage", p.garbage) + text("stray", p.stray) + text("no_room", p.no_room));
   if (door_) {
     const DoorCounters& o = door_->counters();
-    LogLine("door:" + text("calls", o.calls) + text("bad", o.bad) + text("silent", o.silent));
+    LogInfo("door", "door:" + text("calls", o.calls) + text("bad", o.bad) + text("silent", o.silent));
+  }
+  if (directory_) {
+    const membership::Counters& m = directory_->membership().counters();
+    LogInfo("membership", "membership:" + text("servers", directory_->membership().size()) +
+                              text("vanished", m.vanished) + text("returned", m.returned) +
+                              text("restarts", m.restarts) + text("moved", m.moved) +
+                              text("disagreed", m.disagreed) + text("held_down", m.held_down) +
+                              text("admitted", m.admitted) + text("over", m.over));
+    for (const Directory::ZoneView& zone : directory_->Zones()) {
+      LogInfo("zone", "zone " + zone.source + ":" + text("instances", zone.instances.size()) +
+                          text("looks", zone.browser.looks) + text("told", zone.browser.told) +
+                          text("failed", zone.browser.failed) + text("old_copies", zone.browser.old_copies) +
+                          text("no_authority", zone.browser.no_authority) +
+                          text("bad_records", zone.browser.bad_records) + text("over", zone.browser.over) +
+                          text("transfers", zone.browser.transfers) + text("queries", zone.retries.sent) +
+                          text("streams", zone.retries.streams) + text("timeouts", zone.retries.timeouts) +
+                          text("switched", zone.retries.switched));
+    }
   }
-  LogLine("discovery:" + text("connects", d.connects) + text("lost", d.lost) +
-          text("bad_lines", d.bad_lines));
+  LogInfo("discovery", "discovery:" + text("connects", d.connects) + text("lost", d.lost) +
+                           text("bad_lines", d.bad_lines));
 }
 
 }  // namespace tulipyoke::net
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -3,12 +3,14 @@
 #define TULIPYOKE_SRC_NET_NODE_HPP_
 
 #include <asio.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "src/config/config.hpp"
 #include "src/exchange/exchange.hpp"
 #include "src/net/clock.hpp"
+#include "src/net/directory.hpp"
 #include "src/net/discovery.hpp"
 #include "src/net/door.hpp"
 #include "src/net/front.hpp"
@@ -36,6 +38,8 @@
  private:
   void EndTurn();
   void Carry(const Command& command);
+  std::unique_ptr<Directory> MakeDirectory();
+  void HeardRegistry(const Listing& listing);
   void AwaitSignal();
   void Reload();
   void Stop();
@@ -61,6 +65,7 @@
   Service service_;
   ServerPool pool_;
   ClientFront front_;
+  std::unique_ptr<Directory> directory_;  // none: the registry is the only source
   DiscoveryWatch discovery_;
   std::optional<OperatorDoor> door_;
   Handover handover_;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -5,8 +5,8 @@
 #include <chrono>
 #include <utility>
 
+#include "src/log/log.hpp"
 #include "src/net/address.hpp"
-#include "src/net/log.hpp"
 #include "src/pg/answer.hpp"
 #include "src/pg/wire.hpp"
 
@@ -377,7 +377,7 @@
     site.endpoint = ToEndpoint(address);
   } catch (const std::exception& error) {
     site.endpoint.reset();
-    LogLine("a server has an unusable address: " + std::string(error.what()));
+    LogWarning("server_address_unusable", "a server has an unusable address: " + std::string(error.what()));
   }
   CloseIdle(server);
   for (const Link& link : std::vector<Link>(site.opening)) Close(link);
