Never believe an old copy: single records are asked of who has the newest serial

Need: a resolver with an old copy drained a server that had been published since, by NXDOMAIN for its SRV record, and one that answered from an old copy stayed the first choice for good. A look under way made the loop spin. Found by the browser's tests on an emulated network. Change: SRV, TXT and addresses are asked of the resolver whose serial was current; one that is distrusted rests and the others have their turn; a whole transfer after a lost copy is believed as a whole. The stand-in zone is split from its sockets, so that the browser runs on an emulated network in virtual time.

--- a/src/dnssd/browser.cpp
+++ b/src/dnssd/browser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace tulipyoke::dnssd {
 namespace {
@@ -61,7 +62,8 @@
       apex_(Canonical(options.zone)) {}
 
 Micros ZoneBrowser::NextDue() const {
-  Micros due = looking_ ? next_look_ + options_.retry : next_look_;
+  // A look under way ends by its answers, which have a time limit of their own.
+  Micros due = looking_ ? std::numeric_limits<Micros>::max() : next_look_;
   if (!due_.empty()) due = std::min(due, due_.begin()->first);
   if (told_ && !whole_sent_) due = std::min(due, first_told_ + kFirstWait);
   return due;
@@ -143,11 +145,11 @@
     return NothingTold(now, "dns_silent", WhyText(settled.trouble));
   }
   Well("dns_silent");
-  look_resolver_ = settled.resolver;
   look_serial_ = SerialIn(settled.messages.front().answers, apex_);
   if (look_serial_ && serial_ && SerialBefore(*look_serial_, *serial_)) {
     return OldCopy(now, settled.resolver, *look_serial_);
   }
+  look_resolver_ = settled.resolver;
   const bool moved = !told_ || !look_serial_ || look_serial_ != serial_;
   if (options_.mode != Mode::kPoll && !moved && now < pointers_due_) {
     Well("dns_old_copy");
@@ -221,7 +223,8 @@
       records.insert(records.end(), message.answers.begin(), message.answers.end());
     }
   }
-  const auto changed = copy_.Apply(records, options_.most_instances * kRecordsAnInstance);
+  const bool anew = copy_.empty();
+  auto changed = copy_.Apply(records, options_.most_instances * kRecordsAnInstance);
   if (!changed) {
     ++counters_.transfers_refused;
     if (!copy_.empty() && settled.trouble == Trouble::kNone) {
@@ -243,7 +246,18 @@
     ++counters_.over;
     return NothingTold(now, "dns_too_many", std::to_string(pointers.size()) + " instances are too many");
   }
-  if (changed->contains(browse) || !told_) {
+  // What changed is told against the copy: without one before, everything may have.
+  if (anew) {
+    for (const auto& [name, instance] : instances_) {
+      changed->insert({name, RecordType::kSrv});
+      changed->insert({name, RecordType::kTxt});
+    }
+    for (const auto& [name, host] : hosts_) {
+      changed->insert({name, RecordType::kA});
+      changed->insert({name, RecordType::kAaaa});
+    }
+  }
+  if (changed->contains(browse) || anew) {
     Believe(now, pointers);
   } else {
     serial_ = look_serial_;
@@ -346,6 +360,8 @@
       open_.erase(wanted.question);
       continue;
     }
+    // Single records are asked of whoever showed the newest serial: another one may hold an old copy.
+    if (!look) wanted.at = look_resolver_;
     const AskId id = next_ask_++;
     asks_.push_back({id, wanted.question, wanted.at, wanted.serial});
     out_[id] = std::move(wanted);
@@ -365,6 +381,11 @@
     ++counters_.no_authority;
     return Arm(question, *fetch, now + options_.retry);
   }
+  const auto serial = SerialIn(message.authority, apex_);
+  if (serial && serial_ && SerialBefore(*serial, *serial_)) {
+    ++counters_.old_copies;
+    return Arm(question, *fetch, now + options_.retry);
+  }
   TakeSet(now, question, records);
   if (!records.empty()) return;
   // RFC 2308, 5: how long "there is none" holds.
--- a/src/dnssd/retries.cpp
+++ b/src/dnssd/retries.cpp
@@ -95,7 +95,11 @@
   Transmit(now, id, asked);
 }
 
-void Resolvers::Distrust(Micros now, std::size_t resolver) { Rest(now, resolver); }
+// It answers well, so that answering must not make it the first choice again: the others have their turn.
+void Resolvers::Distrust(Micros now, std::size_t resolver) {
+  health_[resolver].rest_until = now + options_.longest_rest;
+  last_good_ = (resolver + 1) % health_.size();
+}
 
 void Resolvers::Rest(Micros now, std::size_t resolver) {
   Health& health = health_[resolver];
--- a/src/dnssd/retries.hpp
+++ b/src/dnssd/retries.hpp
@@ -23,7 +23,7 @@
   Micros stream_wait = 1'500'000;  // for a whole answer over TCP, connection included
   int most_tries = 3;              // of one question, over all resolvers
   Micros first_rest = 500'000;     // a resolver that failed is not asked first; doubled up to the longest
-  Micros longest_rest = 30'000'000;
+  Micros longest_rest = 5'000'000;
 };
 
 enum class Transport { kDatagram, kStream };
--- a/src/dnssd/zone_copy.cpp
+++ b/src/dnssd/zone_copy.cpp
@@ -101,7 +101,9 @@
     if (!SerialBefore(at, next)) return std::nullopt;
     at = next;
     for (++i; i + 1 < records.size() && !SerialOf(records[i]); ++i) {
-      set_of(KeyOf(records[i])).push_back(records[i]);
+      std::vector<Record>& set = set_of(KeyOf(records[i]));
+      if (std::any_of(set.begin(), set.end(), [&](const Record& r) { return Same(r, records[i]); })) continue;
+      set.push_back(records[i]);
       if (++size > most) return std::nullopt;
     }
   }
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -1,6 +1,7 @@
 #include "src/net/directory.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <sstream>
 
 #include "src/log/log.hpp"
@@ -94,7 +95,7 @@
     const Micros next = zone->browser.NextDue();
     due = std::min(due.value_or(next), next);
   }
-  if (!due) return;
+  if (!due || *due == std::numeric_limits<Micros>::max()) return;
   timer_.expires_at(clock_.ToSteady(std::max(*due, clock_.Now() + 1)));
   timer_.async_wait([this](std::error_code error) {
     if (!error) Pump();
--- a/standins/dns_responder.hpp
+++ b/standins/dns_responder.hpp
@@ -1,125 +1,54 @@
-// A DNS-SD responder on loopback: one zone, over UDP and TCP, with transfers and scripted faults, and a true
-// record of what it was asked. Messages are made by ldns from the public specifications (RFC 1035, 1995,
-// 5936, 6763, 6891).
+// A DNS-SD responder on loopback: one zone over UDP and TCP, driven by a script of timed steps.
 #ifndef TULIPYOKE_STANDINS_DNS_RESPONDER_HPP_
 #define TULIPYOKE_STANDINS_DNS_RESPONDER_HPP_
 
 #include <array>
 #include <asio.hpp>
-#include <cstdint>
-#include <deque>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "src/dnssd/ldns_handles.hpp"
+#include "standins/dns_zone.hpp"
 #include "standins/loop.hpp"
 
 namespace tulipyoke::standins {
 
-// What it does wrong, until told otherwise.
-enum class DnsFault {
-  kNone,
-  kSilent,
-  kServFail,
-  kRefused,
-  kWrongId,
-  kWrongQuestion,
-  kGarbage,          // no message at all
-  kLyingCount,       // more records announced than there are
-  kLoop,             // a compression pointer to itself
-  kNoAuthority,      // an empty answer that nobody stands behind
-  kAlwaysTruncated,  // also over TCP
-  kNoTransfer,       // transfers refused, the rest as ever
-};
-
-// One server's records.
-struct Published {
-  std::string label;  // the instance's, in presentation form
-  std::string address = "127.0.0.1";
-  std::uint16_t port = 0;
-  std::vector<std::string> text;  // key=value
-  std::uint32_t ttl = 10;
-  std::string host;  // empty: made from the port and address
-};
-
-struct DnsAsked {
-  Micros when = 0;
-  std::string name, type;
-  bool stream = false;
-  std::uint32_t serial = 0;  // of the answer
-};
-
 class DnsResponder {
  public:
-  DnsResponder(Loop& loop, std::string zone, std::string service = "_readings._tcp");
+  DnsResponder(Loop& loop, const std::string& zone, const std::string& service = "_readings._tcp");
   ~DnsResponder();
 
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
-  // Each change counts the serial up once and can be taken by an incremental transfer.
+  // What the zone has, from any thread.
   void Publish(const std::vector<Published>& servers);
   void Withdraw(const std::vector<std::string>& labels);
   void WithdrawAll();
-  // A record in presentation form, as it stands.
   void AddRecord(const std::string& record);
-  // From now on it answers from the zone as it is at this moment, whatever is changed.
   void Freeze(bool frozen);
   void SetSerial(std::uint32_t serial);
   void SetFault(DnsFault fault);
-  // Additional records behind PTR answers, as RFC 6763, 12.1 wants them.
   void SetAdditional(bool on);
   std::vector<DnsAsked> asked();
   std::uint32_t serial();
-  // The words publish, withdraw, withdraw_all, fault, freeze and thaw.
+  // The words publish, withdraw, silent, servfail and well.
   void Register(Script& script);
 
  private:
   struct Stream;
-  using Record = dnssd::Owned<ldns_rr>;
-  // By name and type in lower case; the records as text.
-  using Zone = std::map<std::string, std::set<std::string>>;
-  struct Difference {
-    std::uint32_t from = 0, to = 0;
-    std::vector<std::string> gone, come;
-  };
-
-  void DoPublish(const std::vector<Published>& servers);
-  void DoWithdraw(const std::vector<std::string>& labels);
-  std::vector<std::string> RecordsOf(const Published& server) const;
-  void Change(std::vector<std::string> gone, std::vector<std::string> come);
-  static std::string KeyOf(const std::string& record);
-  std::string Soa(std::uint32_t serial) const;
-  const Zone& shown() const { return frozen_ ? *frozen_ : zone_; }
-  std::uint32_t shown_serial() const { return frozen_ ? frozen_serial_ : serial_; }
-  bool HasName(const std::string& name) const;
-
-  // The bytes of the answer; empty: none. A transfer has several.
-  std::vector<std::string> Answer(std::string_view query, bool stream);
-  std::vector<std::string> Transfer(ldns_pkt* query, ldns_rr* question);
-  std::string Finish(ldns_pkt* packet);
   void ReadDatagram();
   void Accept();
   void ReadStream(const std::shared_ptr<Stream>& stream);
 
   Loop& loop_;
-  std::string zone_name_, service_;
+  DnsZone zone_;
   asio::ip::udp::socket datagrams_;
   asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_ = 0;
   std::array<char, 65536> in_{};
   asio::ip::udp::endpoint from_;
-  Zone zone_;
-  std::map<std::string, std::vector<std::string>> by_label_;
-  std::uint32_t serial_ = 1, frozen_serial_ = 0;
-  std::unique_ptr<Zone> frozen_;
-  std::deque<Difference> differences_;
-  DnsFault fault_ = DnsFault::kNone;
-  bool additional_ = false;
-  std::vector<DnsAsked> asked_;
   std::set<std::shared_ptr<Stream>> streams_;
 };
 
