--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -84,5 +84,122 @@
   EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
 }
 
+// The 2 s run from the answer that no longer held the record; what is running is let finish.
+TEST_F(DirectoryTest, ARecordThatVanishesDrainsItsServerAndNoRequestIsLost) {
+  standins::PgServer& going = AddServer("going");
+  standins::PgServer& staying = AddServer("staying");
+  going.Behave({.service = 150'000});
+  responder_.Publish({RecordsOf(going), RecordsOf(staying)});
+  Running node({}, 256, 1, FromRecords("serial"));
+  standins::PgClient first(node.port(), history_, "n1", "first");
+  FirstValue(first);
+  standins::PgCrowd crowd(node.port(), history_, "n1", 6, "any");
+  for (int i = 0; going.statements() < 5 && i < 500; ++i) std::this_thread::sleep_for(10ms);
+  ASSERT_GE(going.statements(), 5u);
+  // Told no earlier than this; counted from here the rule is only stricter.
+  history_.Add(standins::Loop::Now(), checks::Told{"n1", going.name(), checks::Heard::kDraining});
+  responder_.Withdraw({going.name()});
+  std::this_thread::sleep_for(600ms);
+  const std::size_t by_then = going.statements();
+  const std::size_t connections = going.accepted();
+  std::this_thread::sleep_for(2200ms);
+  EXPECT_EQ(going.statements(), by_then) << "well under 2 s, nothing new goes there";
+  EXPECT_EQ(going.accepted(), connections);
+  crowd.Stop();
+  EXPECT_GT(crowd.served(), 50);
+  EXPECT_EQ(crowd.unserved(), 0);
+  EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
+}
+
+// 200 cold servers in one answer, three routers: none is pushed over, the warm ones serve on, and connections
+// come at a pace.
+TEST_F(DirectoryTest, AFloodOfColdServersIsPushedOverByNoneOfThreeRouters) {
+  standins::PgServer& warm = AddServer("warm");
+  responder_.Publish({RecordsOf(warm)});
+  const auto adjust = FromRecords("transfer");
+  const auto three = [&](Config& config) {
+    adjust(config);
+    config.settings.gateways = 3;
+    config.settings.may_probe = true;
+    config.settings.reports = ReportVia::kProbe;
+    config.settings.report_fields = {"x0", "x1", "util"};
+  };
+  std::vector<std::unique_ptr<Running>> nodes;
+  std::vector<std::unique_ptr<standins::PgCrowd>> crowds;
+  for (int i = 0; i < 3; ++i) {
+    nodes.push_back(std::make_unique<Running>(std::vector<std::uint16_t>(), 256, 1, three));
+    const std::string name = "n" + std::to_string(i);
+    standins::PgClient first(nodes.back()->port(), history_, name, name + "-first");
+    ASSERT_EQ(FirstValue(first), "from warm");
+    crowds.push_back(std::make_unique<standins::PgCrowd>(nodes.back()->port(), history_, name, 4, "any"));
+  }
+  std::vector<standins::Published> flood;
+  const auto unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
+  for (int i = 0; i < 200; ++i) {
+    standins::PgServer& cold = AddServer("cold-" + std::to_string(i));
+    cold.Start(1);
+    flood.push_back(RecordsOf(cold));
+    flood.back().text.push_back("started=" + std::to_string(unix_ms));
+  }
+  responder_.Publish(flood);
+  std::this_thread::sleep_for(1500ms);
+  std::size_t reached = 0;
+  for (std::size_t i = 1; i < servers_.size(); ++i) reached += servers_[i]->accepted() > 0 ? 1 : 0;
+  EXPECT_GT(reached, 0u) << "some are let in";
+  EXPECT_LE(reached, 40u) << "and not all at once";
+  std::this_thread::sleep_for(1500ms);
+  for (const auto& crowd : crowds) {
+    crowd->Stop();
+    EXPECT_GT(crowd->served(), 50);
+    EXPECT_LE(crowd->unserved(), crowd->served() / 50);
+  }
+  EXPECT_GT(warm.statements(), 100u);
+  EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
+}
+
+TEST_F(DirectoryTest, FlappingRecordsLoseNoRequestAndMakeNoStormOfProbes) {
+  standins::PgServer& steady = AddServer("steady");
+  standins::PgServer& flaps = AddServer("flaps");
+  responder_.Publish({RecordsOf(steady), RecordsOf(flaps)});
+  Running node({}, 256, 1, FromRecords("serial"));
+  standins::PgClient first(node.port(), history_, "n1", "first");
+  FirstValue(first);
+  standins::PgCrowd crowd(node.port(), history_, "n1", 4, "any");
+  for (int i = 0; i < 12; ++i) {
+    responder_.Withdraw({"flaps"});
+    std::this_thread::sleep_for(150ms);
+    responder_.Publish({RecordsOf(flaps)});
+    std::this_thread::sleep_for(150ms);
+  }
+  crowd.Stop();
+  EXPECT_GT(crowd.served(), 100);
+  EXPECT_EQ(crowd.unserved(), 0);
+  EXPECT_LE(flaps.accepted(), 40u);
+  EXPECT_NE(node.Call("GET", "/control/servers").find("held_down=1"), std::string::npos);
+  EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
+}
+
+// Guards against a resolver's silence or nonsense taking servers away.
+TEST_F(DirectoryTest, TheListHoldsThroughSilenceAndNonsense) {
+  standins::PgServer& server = AddServer("s");
+  responder_.Publish({RecordsOf(server)});
+  Running node({}, 256, 1, FromRecords("poll"));
+  standins::PgClient client(node.port(), history_, "n1", "c");
+  FirstValue(client);
+  for (const auto fault : {standins::DnsFault::kSilent, standins::DnsFault::kGarbage,
+                           standins::DnsFault::kWrongId, standins::DnsFault::kNoAuthority}) {
+    responder_.SetFault(fault);
+    responder_.Withdraw({"s"});
+    std::this_thread::sleep_for(400ms);
+    EXPECT_EQ(client.Ask("any").value, "from s") << static_cast<int>(fault);
+    responder_.Publish({RecordsOf(server)});
+    responder_.SetFault(standins::DnsFault::kNone);
+    std::this_thread::sleep_for(200ms);
+  }
+  EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
