--- a/src/dnssd/browser.cpp
+++ b/src/dnssd/browser.cpp
@@ -17,6 +17,8 @@
 // Records of a zone beside the four or five an instance has.
 constexpr std::size_t kRecordsAnInstance = 6;
 
+// Sets of records, and instances, that one turn of the loop takes in.
+constexpr std::size_t kSlice = 300;
 // Where nobody says how long an absence holds.
 constexpr int kLooksANegative = 20;
 // Single records that cannot be used are said so often, then only counted.
@@ -64,6 +66,7 @@
 Micros ZoneBrowser::NextDue() const {
   // A look under way ends by its answers, which have a time limit of their own.
   Micros due = looking_ ? std::numeric_limits<Micros>::max() : next_look_;
+  if (!todo_.empty() || (whole_sent_ && !dirty_.empty())) return now_;
   if (!due_.empty()) due = std::min(due, due_.begin()->first);
   if (told_ && !whole_sent_) due = std::min(due, first_told_ + kFirstWait);
   return due;
@@ -72,6 +75,7 @@
 void ZoneBrowser::Tick(Micros now) {
   now_ = now;
   if (!looking_ && now >= next_look_) BeginLook();
+  Work(now);
   RunFetches(now);
   EmitAsks();
 }
@@ -266,8 +270,9 @@
   }
   pointers_due_ = now + options_.most_refresh;
   for (const Question& question : *changed) {
-    if (question.type != RecordType::kPtr && FetchOf(question)) TakeSet(now, question, copy_.Get(question));
+    if (question.type != RecordType::kPtr && FetchOf(question)) todo_.push_back(question);
   }
+  Work(now);
 }
 
 void ZoneBrowser::Believe(Micros now, const std::vector<Record>& pointers) {
@@ -293,8 +298,8 @@
     const auto [it, added] = instances_.try_emplace(name);
     if (!added) continue;
     it->second.label = pointer->label;
-    Want(now, {name, RecordType::kSrv});
-    Want(now, {name, RecordType::kTxt});
+    Want({name, RecordType::kSrv});
+    Want({name, RecordType::kTxt});
   }
   pointers_due_ = RefreshAt(now, pointers);
   EndLook(now, true);
@@ -328,12 +333,25 @@
   while (!due_.empty() && due_.begin()->first <= now) {
     const Question question = due_.begin()->second;
     due_.erase(due_.begin());
-    Want(now, question);
+    Want(question);
   }
 }
 
-void ZoneBrowser::Want(Micros now, const Question& question) {
-  if (!copy_.empty()) return TakeSet(now, question, copy_.Get(question));
+// What a transfer brought is taken in slices: thousands of records in one turn would keep requests waiting.
+void ZoneBrowser::Work(Micros now) {
+  for (std::size_t done = 0; done < kSlice && !todo_.empty(); ++done) {
+    const Question question = std::move(todo_.front());
+    todo_.pop_front();
+    // The copy may have been lost meanwhile: then it is asked for.
+    if (copy_.empty())
+      Push({question, std::nullopt, 0}, false);
+    else
+      TakeSet(now, question, copy_.Get(question));
+  }
+}
+
+void ZoneBrowser::Want(const Question& question) {
+  if (!copy_.empty()) return todo_.push_back(question);
   Push({question, std::nullopt, 0}, false);
 }
 
@@ -415,12 +433,12 @@
     Arm(question, *fetch, RefreshAt(now, records));
   else
     Disarm(question, *fetch);
-  if (question.type == RecordType::kSrv) return TakeService(now, question.name, records);
+  if (question.type == RecordType::kSrv) return TakeService(question.name, records);
   if (question.type == RecordType::kTxt) return TakeText(question.name, records);
-  TakeAddresses(now, question, records);
+  TakeAddresses(question, records);
 }
 
-void ZoneBrowser::TakeService(Micros now, const Name& name, const std::vector<Record>& records) {
+void ZoneBrowser::TakeService(const Name& name, const std::vector<Record>& records) {
   Instance& instance = instances_.at(name);
   std::vector<ServiceData> services;
   for (const Record& record : records) services.push_back(std::get<ServiceData>(record.data));
@@ -432,7 +450,7 @@
   if (instance.service_bad) return Bad(name, instance, "SRV names port 0");
   const Name before = instance.service ? instance.service->target : Name();
   instance.service = service;
-  if (service) UseHost(now, name, instance, service->target);
+  if (service) UseHost(name, service->target);
   if (!before.empty() && (!service || service->target != before)) LeaveHost(name, before);
 }
 
@@ -449,7 +467,7 @@
   instance.attributes = attributes;
 }
 
-void ZoneBrowser::TakeAddresses(Micros now, const Question& question, const std::vector<Record>& records) {
+void ZoneBrowser::TakeAddresses(const Question& question, const std::vector<Record>& records) {
   Host& host = hosts_.at(question.name);
   std::vector<std::string>& addresses =
       question.type == RecordType::kA ? host.a_addresses : host.aaaa_addresses;
@@ -457,15 +475,15 @@
   for (const Record& record : records) addresses.push_back(std::get<AddressData>(record.data).address);
   std::sort(addresses.begin(), addresses.end());
   // IPv6 is asked for where IPv4 has nothing.
-  if (!HostKnown(host) && !host.aaaa.known) Want(now, {question.name, RecordType::kAaaa});
+  if (!HostKnown(host) && !host.aaaa.known) Want({question.name, RecordType::kAaaa});
   dirty_.insert(host.users.begin(), host.users.end());
 }
 
-void ZoneBrowser::UseHost(Micros now, const Name& name, Instance&, const Name& host) {
+void ZoneBrowser::UseHost(const Name& name, const Name& host) {
   const auto [it, added] = hosts_.try_emplace(host);
   it->second.users.insert(name);
   if (!added) return;
-  Want(now, {host, RecordType::kA});
+  Want({host, RecordType::kA});
 }
 
 void ZoneBrowser::LeaveHost(const Name& name, const Name& host) {
@@ -583,6 +601,7 @@
 }
 
 bool ZoneBrowser::FirstIsWhole(Micros now) const {
+  if (!todo_.empty()) return false;
   if (now >= first_told_ + kFirstWait) return true;
   return std::all_of(instances_.begin(), instances_.end(), [&](const auto& item) {
     const Instance& instance = item.second;
@@ -602,7 +621,9 @@
     listing.servers.push_back(std::move(listed));
   }
   gone_.clear();
-  for (const Name& name : std::exchange(dirty_, {})) {
+  // The first list is a whole; later ones come in slices, but for who is gone.
+  for (std::size_t done = 0; !dirty_.empty() && (listing.complete || done < kSlice); ++done) {
+    const Name name = std::move(dirty_.extract(dirty_.begin()).value());
     const auto it = instances_.find(name);
     if (it != instances_.end()) List(name, it->second, listing);
   }
--- a/src/dnssd/browser.hpp
+++ b/src/dnssd/browser.hpp
@@ -137,13 +137,14 @@
   void Believe(Micros now, const std::vector<Record>& pointers);
   // The records of one name and type; none: told that there are none.
   void TakeSet(Micros now, const Question& question, const std::vector<Record>& records);
-  void TakeService(Micros now, const Name& name, const std::vector<Record>& records);
+  void TakeService(const Name& name, const std::vector<Record>& records);
   void TakeText(const Name& name, const std::vector<Record>& records);
-  void TakeAddresses(Micros now, const Question& question, const std::vector<Record>& records);
-  void UseHost(Micros now, const Name& name, Instance& instance, const Name& host);
+  void TakeAddresses(const Question& question, const std::vector<Record>& records);
+  void UseHost(const Name& name, const Name& host);
   void LeaveHost(const Name& name, const Name& host);
   void Remove(const Name& name);
-  void Want(Micros now, const Question& question);
+  void Work(Micros now);
+  void Want(const Question& question);
   void Push(Wanted wanted, bool first);
   void EmitAsks();
   void Arm(const Question& question, Fetch& fetch, Micros due);
@@ -179,6 +180,7 @@
   std::map<AskId, Wanted> out_;
   std::set<Question> open_;  // waiting or out
   std::deque<Wanted> waiting_;
+  std::deque<Question> todo_;  // sets of the copy that are to be taken
   std::set<std::pair<Micros, Question>> due_;
   std::vector<Ask> asks_;
   std::vector<std::size_t> distrusted_;
--- a/src/dnssd/ldns_handles.hpp
+++ b/src/dnssd/ldns_handles.hpp
@@ -4,6 +4,7 @@
 
 #include <ldns/ldns.h>
 // ldns makes these macros, which breaks standard headers behind it.
+#undef bool
 #undef true
 #undef false
 
--- a/src/dnssd/message.hpp
+++ b/src/dnssd/message.hpp
@@ -3,6 +3,7 @@
 #ifndef TULIPYOKE_SRC_DNSSD_MESSAGE_HPP_
 #define TULIPYOKE_SRC_DNSSD_MESSAGE_HPP_
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -33,28 +34,28 @@
   Name target;
   Name parent;        // the target less its first label
   std::string label;  // that label's bytes as published: UTF-8, dots and all (RFC 6763, 4.1.1)
-  bool operator==(const PointerData&) const = default;
+  auto operator<=>(const PointerData&) const = default;
 };
 struct ServiceData {
   std::uint16_t priority = 0, weight = 0, port = 0;
   Name target;
-  bool operator==(const ServiceData&) const = default;
+  auto operator<=>(const ServiceData&) const = default;
 };
 struct TextData {
   std::vector<std::string> strings;
-  bool operator==(const TextData&) const = default;
+  auto operator<=>(const TextData&) const = default;
 };
 struct AddressData {
   std::string address;  // as text
-  bool operator==(const AddressData&) const = default;
+  auto operator<=>(const AddressData&) const = default;
 };
 struct SoaData {
   std::uint32_t serial = 0;
   std::uint32_t negative_ttl = 0;  // seconds: the lesser of its TTL and its minimum (RFC 2308, 5)
-  bool operator==(const SoaData&) const = default;
+  auto operator<=>(const SoaData&) const = default;
 };
 struct OtherData {
-  bool operator==(const OtherData&) const = default;
+  auto operator<=>(const OtherData&) const = default;
 };
 
 struct Record {
--- a/src/dnssd/zone_copy.cpp
+++ b/src/dnssd/zone_copy.cpp
@@ -51,10 +51,12 @@
   Sets sets;
   for (std::size_t i = 1; i + 1 < records.size(); ++i) {
     if (SerialOf(records[i])) return std::nullopt;
-    std::vector<Record>& set = sets[KeyOf(records[i])];
-    const bool there =
-        std::any_of(set.begin(), set.end(), [&](const Record& r) { return Same(r, records[i]); });
-    if (!there) set.push_back(records[i]);
+    sets[KeyOf(records[i])].push_back(records[i]);
+  }
+  // In one order, so that two copies can be compared; each once.
+  for (auto& [key, set] : sets) {
+    std::sort(set.begin(), set.end(), [](const Record& a, const Record& b) { return a.data < b.data; });
+    set.erase(std::unique(set.begin(), set.end(), Same), set.end());
   }
   std::set<Question> changed;
   for (const auto& [key, set] : sets) {
