--- a/bench/learn_latency.cpp
+++ b/bench/learn_latency.cpp
@@ -65,7 +65,7 @@
                   whole);
   };
   responder.Publish({records(a), records(b)});
-  tell({member(a, "in_service"), member(b, "in_service")}, true);
+  tell(nlohmann::json::array({member(a, "in_service"), member(b, "in_service")}), true);
 
   nlohmann::json config{
       {"name", "n"},
@@ -100,7 +100,7 @@
     for (int round = 0; round < rounds; ++round) {
       const Micros gone = Loop::Now();
       if (source == "registry")
-        tell({member(b, "terminating")}, false);
+        tell(nlohmann::json::array({member(b, "terminating")}), false);
       else
         responder.Withdraw({"b"});
       std::this_thread::sleep_for(900ms + 7ms * round);
@@ -108,7 +108,7 @@
       waits.last_old.push_back(
           static_cast<double>(std::max<Micros>(0, Edge(history.Events(), "b", gone, true) - gone)) / 1e3);
       if (source == "registry")
-        tell({member(b, "in_service")}, false);
+        tell(nlohmann::json::array({member(b, "in_service")}), false);
       else
         responder.Publish({records(b)});
       std::this_thread::sleep_for(900ms + 11ms * round);
