Test that an old copy's text does not put a drained server back into service

Need: the guard that asks single records of whoever has the newest serial was hidden by another one: its test passed without it. Change: a test of its own. Measured: it passes in all modes, and fails in poll and serial mode with the guard taken out; so does the test of another address without that guard.

--- a/tests/dnssd_test.cpp
+++ b/tests/dnssd_test.cpp
@@ -164,6 +164,20 @@
   EXPECT_TRUE(browsing.Has("c"));
 }
 
+// A single record of an old copy is no news either, though nothing in it says how old it is.
+TEST_P(EveryMode, ADrainedServerIsNotPutBackByAnOldCopysText) {
+  DnsZone fresh(kZone), old(kZone);
+  for (DnsZone* zone : {&fresh, &old}) zone->Publish({Server("a"), Server("b")});
+  old.Freeze(true);
+  fresh.Publish({Server("a", 7001, {"state=terminating"})});
+  Browsing browsing(GetParam(), {&fresh, &old});
+  browsing.network.RunFor(2 * kSecond);
+  ASSERT_EQ(browsing.members.at("a" + kEnd).state, ServerState::kDraining);
+  browsing.network.Cut(0, true);
+  browsing.network.RunFor(40 * kSecond);
+  EXPECT_EQ(browsing.members.at("a" + kEnd).state, ServerState::kDraining);
+}
+
 TEST_P(EveryMode, AnotherResolverIsAskedWhereOneIsSilent) {
   DnsZone first(kZone), second(kZone);
   for (DnsZone* zone : {&first, &second}) zone->Publish({Server("a"), Server("b")});
