Let a stopping router rest between turns, so that what it owes is not lost

Lines: EndTurn in src/net/node.cpp moved the stop timer each turn; moving it ends its wait, that is a handler, and so the next turn, so that the loop never rested from SIGTERM to the end. Thirty routers at once took the cores from the rest. Change: it is armed anew once it has fired.

--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstddef>
 #include <exception>
+#include <utility>
 #include <variant>
 
 #include "src/log/log.hpp"
@@ -35,6 +36,8 @@
 constexpr Micros kLongestCounted = 3'000'000;
 constexpr Micros kAnswerMargin = 300'000;
 constexpr Micros kExitMargin = 150'000;
+// How often a stop looks whether all is done, where nothing else makes a turn.
+constexpr auto kStopTurn = std::chrono::milliseconds(10);
 // A stop waits so long for a message that has begun to come.
 constexpr Micros kSlowest = 2'200'000;
 // While two processes of this router run, each has this part of the descriptors and the memory.
@@ -184,6 +187,7 @@
   EndTurn();
   while (!done_) {
     clock_.NewTurn();
+    ++turns_;
     if (io_.run_one() == 0) break;
     for (int handled = 1; handled < kHandlersATurn && io_.poll_one() > 0; ++handled) {
     }
@@ -294,10 +298,11 @@
   done_ = (!listening_ && (front_.clients() == 0 || (alone && !front_.Owes(kSlowest)))) ||
           since >= stop_plan_.exit_by;
   if (done_) handover_.Stop();
-  if (!done_) {
-    stop_timer_.expires_after(std::chrono::milliseconds(10));
-    stop_timer_.async_wait([](std::error_code) {});
-  }
+  // Armed anew only once it has fired: to move it would end its wait, and that makes a turn of its own, so
+  // that the loop would never rest until it ends.
+  if (done_ || std::exchange(stop_timer_armed_, true)) return;
+  stop_timer_.expires_after(kStopTurn);
+  stop_timer_.async_wait([this](std::error_code) { stop_timer_armed_ = false; });
 }
 
 void Node::Carry(const Command& command) {
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -3,6 +3,7 @@
 #define TULIPYOKE_SRC_NET_NODE_HPP_
 
 #include <asio.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +35,8 @@
   std::uint16_t door_port() const { return door_ ? door_->port() : 0; }
   // Until it has been told to stop and has finished what it took.
   void Run();
+  // Of the loop; it rests between two of them where nothing is to be done.
+  std::uint64_t turns() const { return turns_; }
 
  private:
   void EndTurn();
@@ -74,7 +77,8 @@
   int told_holds_ = 0;
   std::optional<Micros> stop_asked_;
   StopPlan stop_plan_;
-  bool listening_ = true, done_ = false;
+  bool listening_ = true, stop_timer_armed_ = false, done_ = false;
+  std::uint64_t turns_ = 0;
 };
 
 }  // namespace tulipyoke::net
--- a/tests/running.hpp
+++ b/tests/running.hpp
@@ -50,6 +50,8 @@
     kill(getpid(), SIGTERM);
     thread_.join();
   }
+  // Once it has stopped.
+  std::uint64_t turns() const { return node_->turns(); }
   std::uint16_t port() const { return node_->port(); }
   Peer Connect() {
     tcp::socket socket(io_);
