Weigh what a router sees by the silence before it, and pay every probe from one budget

One server had 313 timeouts and 3 answers: hundreds of routers each learn by themselves that it is jammed, one answer in seconds each, at a tenth a sample (Learn). The share of admitted reads took 26 answers to come back, that is minutes where a router sees one in seconds (LearnOutcome); half of the shed reads went to the primary of whom nothing was known (spare, 385 timeouts there); 20,641 misses of map-read went round lagging replicas; a probe followed each timeout, unpaid (AskServer with no gap); refused clients came back after 300 ms, too late to be in time and in the crowd again (GiveUp). Ruled out: traffic itself (others of that size held). Change: a sample after a silence counts up to half, an answer up to eight; what nothing confirms fades; spare room at a primary not heard of is shared by the routers; three misses a read; all probes from the budget; the settings' longest time to return; a new connection and another zone count as part of an answer, so that a router keeps to few servers.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -24,6 +24,10 @@
 // An answer later than this share of its aim is such a sign: a full aim leaves nothing for waiting or a
 // second try.
 constexpr double kCrowdedAim = 0.6;
+// What comes after a silence counts for more than one of many: up to these. Hundreds of routers see little
+// each, and what one saw a while ago says less than what it sees now.
+constexpr double kMostShare = 0.5;   // of a new sample in a smoothed value
+constexpr double kMostWeight = 8.0;  // of an answer, in answers that come at every check
 // Share of its aim within which a read that needs no position is served by a replica too stale for others.
 constexpr double kSpareAim = 0.5;
 // Share of turned-away reads that its primary is given: it grows by kSpareStep with each answer there within
@@ -45,6 +49,11 @@
 constexpr int kChecksPerAim = 8;
 // A slowness not confirmed for this many longest deadlines has faded to a third: it is tried again.
 constexpr double kForgetDeadlines = 2.0;
+// What a new connection and another zone add to a server's time, as shares of a usual answer; and how much of
+// the time that an idle connection lasts is left.
+constexpr double kNewLinkShare = 0.3;
+constexpr double kFarShare = 0.3;
+constexpr double kLinked = 0.4;
 // Slowest apply rate that is believed: a replica that stands still may go on at any moment.
 constexpr double kLeastRate = 0.05;
 // Two positions nearer than this many ticks tell no rate: rounding would dominate.
@@ -84,7 +93,7 @@
 
 struct Server {
   ServerId id = 0;
-  int group = kUnknown;
+  int group = kUnknown, zone = 0;
   bool open = false, leads = false;              // listed as ready, listed as primary
   Micros boot = 0, known_since = 0, listed = 0;  // listed: when it was last known to be open
   // Role and position (after the origin), with the time of the evidence.
@@ -121,7 +130,7 @@
   std::uint64_t key = 0;
   Micros arrived = 0, deadline = 0;
   Micros token = kUnknown;  // position a session read needs
-  int sends = 0, out = 0, looks = 0;
+  int sends = 0, out = 0, looks = 0, misses = 0;
   ServerId looking = 0;
   Micros look_until = 0;
   Micros first_maybe = kUnknown;  // send of the first attempt that may have run or is out
@@ -135,8 +144,9 @@
   std::vector<ServerId> members;
   std::vector<RequestId> held;
   bool has_primary = false;
-  double admit = 1;          // share of reads that its replicas are given
-  double spare = kSpareCut;  // share of the reads turned away that its primary is given
+  double admit = 1;  // share of reads that its replicas are given
+  double spare = 0;  // share of the reads turned away that its primary is given
+  Micros admit_time = 0, spare_time = 0;
   ServerId primary = 0;
   double warm_rate = 0;  // what a warm member was last seen to finish for this router, a microsecond
 };
@@ -211,10 +221,17 @@
 
   // ---- Smoothed times and load ---------------------------------------------------------------------------
 
-  double Slowness(const Server& s) const {
-    const double age = static_cast<double>(now - s.slowness_time);
+  // What is left of something seen at that time; nothing has confirmed it since.
+  double Faded(Micros since) const {
     const double span = kForgetDeadlines * static_cast<double>(std::max<Micros>(longest_deadline, 1));
-    return 1 + (s.slowness - 1) * std::exp(-age / span);
+    return std::exp(-static_cast<double>(now - since) / span);
+  }
+  double Slowness(const Server& s) const { return 1 + (s.slowness - 1) * Faded(s.slowness_time); }
+  double Admitted(const Group& g) const { return 1 - (1 - g.admit) * Faded(g.admit_time); }
+  // Of a primary that has not answered of late, each router takes its part of the first share.
+  double Spare(const Group& g) const {
+    const double first = kSpareCut / settings.gateways;
+    return first + (g.spare - first) * Faded(g.spare_time);
   }
   double Usual(int class_index) const { return class_latency[static_cast<std::size_t>(class_index)]; }
   double Expected(const Server& s, int class_index) const { return Usual(class_index) * Slowness(s); }
@@ -248,7 +265,10 @@
     double& mean = class_latency[static_cast<std::size_t>(class_index)];
     const double sample = static_cast<double>(std::max<Micros>(elapsed, 1));
     const double before = Slowness(s);
-    s.slowness = before + kSmoothing * (sample / std::max(mean, 1.0) - before);
+    const double silence =
+        1 - std::exp(-Ratio(static_cast<double>(now - s.slowness_time), static_cast<double>(longest_aim)));
+    const double share = std::max(kSmoothing, kMostShare * silence);
+    s.slowness = before + share * (sample / std::max(mean, 1.0) - before);
     s.slowness_time = now;
     mean += kSmoothing * kSmoothing * (sample / before - mean);
   }
@@ -357,6 +377,7 @@
       s.known_since = now;
       s.id = e.server;
       s.group = e.group;
+      s.zone = e.zone;
       groups[e.group].members.push_back(e.server);
     }
     const bool was_open = s.open;
@@ -419,11 +440,9 @@
 
   void AskServer(Server& s, Micros gap) {
     if (!settings.may_probe || s.probing || !s.open) return;
-    if (gap > 0) {
-      if (s.probe_sent != kUnknown && now - s.probe_sent < std::max(gap, s.probe_gap)) return;
-      if (probe_budget < 1) return;
-      probe_budget -= 1;
-    }
+    if (gap > 0 && s.probe_sent != kUnknown && now - s.probe_sent < std::max(gap, s.probe_gap)) return;
+    if (probe_budget < 1) return;
+    probe_budget -= 1;
     s.probing = true;
     s.probe_sent = now;
     Do(Probe{s.id});
@@ -538,7 +557,15 @@
     const auto& bad = r.failed_at;
     return std::find(bad.begin(), bad.end(), s.id) == bad.end() && Admits(s, r);
   }
-  // The lowest sum of own load, own smoothed time, predicted wait and what is left of a reported queue.
+  // What it costs beyond the work to send there: a connection where none is likely to be open any more, and
+  // the way to another zone. So a router of hundreds keeps to few servers, and knows these better.
+  double Way(const Server& s, int class_index) const {
+    const bool linked = s.last_answer != kUnknown && Faded(s.last_answer) > kLinked;
+    const bool far = settings.cross_zone_price > 0 && s.zone != settings.zone;
+    return Usual(class_index) * ((linked ? 0 : kNewLinkShare) + (far ? kFarShare : 0));
+  }
+  // The lowest sum of own load, own smoothed time, the way, predicted wait and what is left of a reported
+  // queue.
   Server* ChooseReplica(const Request& r) {
     Group& g = groups[r.group];
     const Micros needed = Needed(r);
@@ -551,7 +578,7 @@
       if ((g.has_primary && g.primary == id) || !Usable(s, r)) continue;
       if (needed != kUnknown && s.position == kUnknown && !Ready(s, needed)) continue;
       const double others = OthersLoad(s, r.class_index);
-      const double score = Load(s) + ExpectedInAll(s, r.class_index) + PredictedWait(s, needed) + others;
+      double score = Load(s) + ExpectedInAll(s, r.class_index) + PredictedWait(s, needed) + others;
       // A queue that leaves no time: hung, crowded or returning, none of it is served in time.
       if (others > 0 && others > static_cast<double>(LastUseful(r) - now)) continue;
       // Stale: too old for the tightest bound that a class has.
@@ -560,6 +587,7 @@
           (!stalest || ShownLag(s) > ShownLag(*stalest))) {
         stalest = &s;
       }
+      score += Way(s, r.class_index);
       if (best && score == best_score) {
         if (Draw() % static_cast<std::uint64_t>(++ties) == 0) best = &s;
       } else if (!best || score < best_score) {
@@ -626,7 +654,7 @@
       Server* guess = asked || c.freshness != Freshness::kWrite ? nullptr : GuessPrimary(r);
       return guess ? SendTo(r, *guess) : Hold(r);
     }
-    if (!r.admitted) r.shed = Chance() >= groups[r.group].admit;
+    if (!r.admitted) r.shed = Chance() >= Admitted(groups[r.group]);
     r.admitted = true;
     if (r.shed && c.freshness == Freshness::kBounded && !ShownToAny(r)) return GiveUp(r);
     if (r.shed) return UseSpareRoom(r);
@@ -673,7 +701,7 @@
   void UseSpareRoom(Request& r) {
     const Group& g = groups[r.group];
     const bool drawn = r.looks > 0 && r.looking == g.primary;
-    Server* s = drawn || Chance() < g.spare ? ChoosePrimary(r) : nullptr;
+    Server* s = drawn || Chance() < Spare(g) ? ChoosePrimary(r) : nullptr;
     if (s && Look(r, *s)) return;
     if (!s || OthersLoad(*s, r.class_index) > 0) return GiveUp(r);
     SendTo(r, *s);
@@ -682,7 +710,7 @@
   // queue is asked for it before a read is sent there. True while that is awaited.
   bool Look(Request& r, Server& s) {
     const bool awaited = now < r.look_until && servers[r.looking].probing;
-    const bool calm = groups[r.group].admit >= 1 && s.queued < 1;
+    const bool calm = Admitted(groups[r.group]) >= 1 && s.queued < 1;
     const bool fresh = static_cast<double>(now - s.queue_time) <= Expected(s, r.class_index);
     const bool can = queue_field != kUnknown && settings.may_probe && r.looks < kLooks;
     if (!awaited && (!can || calm || fresh)) return false;
@@ -812,11 +840,16 @@
     Group& g = groups[s.group];
     if (g.primary == s.id) {
       const bool quick = ok && static_cast<double>(e.elapsed) < kSpareTimes * Usual(c);
+      g.spare = Spare(g);
+      g.spare_time = now;
       if (quick) g.spare = std::min(1.0, g.spare + kSpareStep);
       if (crowd || (ok && !quick)) g.spare *= kSpareCut;
-    } else {
-      if (in_time) g.admit = std::min(1.0, g.admit + kAdmitStep);
-      if (crowd) g.admit = std::max(kAdmitLeast, g.admit * kAdmitCut);
+    } else if (in_time || crowd) {
+      const double silence = static_cast<double>(now - g.admit_time);
+      const double weight = std::clamp(Ratio(silence, static_cast<double>(check_gap)), 1.0, kMostWeight);
+      g.admit = in_time ? std::min(1.0, Admitted(g) + weight * kAdmitStep)
+                        : std::max(kAdmitLeast, Admitted(g) * std::pow(kAdmitCut, weight));
+      g.admit_time = now;
     }
     const bool write = ClassOf(c).freshness == Freshness::kWrite;
     if (e.role != Role::kUnknown) HearRole(s, e.role, now);
@@ -860,8 +893,10 @@
       if (resends < 1) return GiveUp(r);
       resends -= e.status == Status::kError || e.status == Status::kReset ? kFailureCost : 1;
     }
-    if (e.status == Status::kMiss) r.turned_away = true;
-    if (!NeedsPrimary(ClassOf(r.class_index)) && e.status != Status::kMiss) r.failed_at.push_back(e.server);
+    const bool read = !NeedsPrimary(ClassOf(r.class_index)), miss = e.status == Status::kMiss;
+    if (miss) r.turned_away = true;
+    if (read && miss && ++r.misses >= kLooks) return UseSpareRoom(r);
+    if (read && !miss) r.failed_at.push_back(e.server);
     Route(r);
   }
 
@@ -872,7 +907,7 @@
     const bool harmless = (!r.maybe_ran && r.out == 0) || c.effect == Effect::kSafe ||
                           (c.effect == Effect::kKeyed && c.repeat_group == RepeatGroup::kAll);
     if (harmless) {
-      Do(Refuse{r.id, settings.retry_after ? std::min(settings.max_retry_after, c.aim) : 0});
+      Do(Refuse{r.id, settings.retry_after ? settings.max_retry_after : 0});
     } else {
       Do(Fail{r.id});
     }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -60,6 +60,80 @@
   EXPECT_FALSE(SentTo(unguarded.Arrive(1, kBoundedRead), 1));
 }
 
+// Guards against a jammed replica that a router which asks it once in seconds learns of only after tens of
+// requests: one answer after a silence counts for half, and what nothing confirms is forgotten.
+TEST(Fleet, OneLateAnswerAfterASilenceIsEnoughToPassAServerOver) {
+  Scene scene(FleetSettings());
+  const auto slow = SentTo(scene.Arrive(1, kAnyRead), 1);
+  ASSERT_TRUE(slow);
+  scene.Pass(390 * kMs);
+  scene.End(1, *slow, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 390 * kMs);
+  int again = 0;
+  for (RequestId id = 2; id < 12; ++id) {
+    const auto to = SentTo(scene.Arrive(id, kAnyRead), id);
+    if (!to) continue;  // shed
+    again += *to == *slow;
+    scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
+  }
+  EXPECT_EQ(again, 0);
+  // The others die: it is asked again.
+  for (const ServerId other : {1u, 2u, 3u}) {
+    ListEntry gone = Ready(other);
+    gone.state = ServerState::kGone;
+    if (other != *slow) scene.List(ListKind::kDelta, {gone});
+  }
+  scene.Pass(5 * kSecond);
+  EXPECT_EQ(SentTo(scene.Arrive(20, kAnyRead), 20), *slow);
+}
+
+// Guards against a share of admitted reads that stays low for minutes where few answers could raise it.
+TEST(Fleet, ReadsAreAdmittedAgainWhenNothingConfirmsTheCrowd) {
+  Scene scene(FleetSettings());
+  for (RequestId id = 1; id <= 5; ++id) {
+    scene.Pass(kSecond);
+    if (const auto to = SentTo(scene.Arrive(id, kAnyRead), id))
+      scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 390 * kMs);
+  }
+  scene.Pass(20 * kSecond);
+  int sent = 0;
+  for (RequestId id = 10; id < 20; ++id) {
+    const auto to = SentTo(scene.Arrive(id, kAnyRead), id);
+    sent += to.has_value();
+    if (to) scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 20 * kMs);
+  }
+  EXPECT_GE(sent, 8);
+}
+
+// Guards against a read that goes round replicas which all lag, a wait and a connection at each.
+TEST(Fleet, AReadIsTurnedAwayThreeTimesAtMost) {
+  Scene scene(FleetSettings());
+  scene.List(ListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
+  auto to = SentTo(scene.Arrive(1, kBoundedRead), 1);
+  int misses = 0;
+  for (; to && misses < 10; ++misses) {
+    scene.Pass(20 * kMs);
+    const auto actions = scene.End(1, *to, Status::kMiss, Role::kReplica, scene.now_ms() - 900);
+    to = SentTo(actions, 1);
+    EXPECT_EQ(Only<Refuse>(actions).size(), to ? 0u : 1u);
+  }
+  EXPECT_EQ(misses, 3);
+}
+
+// Guards against connections to every server from every router: what answered of late is gone back to.
+TEST(Fleet, ARouterKeepsToTheServersThatItHasConnectionsTo) {
+  Scene scene(FleetSettings());
+  scene.List(ListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
+  std::set<ServerId> used;
+  for (RequestId id = 1; id <= 30; ++id) {
+    scene.Pass(kSecond);
+    const auto to = SentTo(scene.Arrive(id, kAnyRead), id);
+    ASSERT_TRUE(to);
+    used.insert(*to);
+    scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, (90 + id % 20) * kMs);
+  }
+  EXPECT_LE(used.size(), 2u);
+}
+
 // Guards against sessions that fill the memory, and against a stale read by forgetting.
 TEST(Commits, ForgettingMergesOldOnesIntoTheFloorOfTheirGroup) {
   sessions::Commits commits;
