Give cold servers an even part of the tenants' quotas, shared by all routers

The budget of a cold server was 1.6 times its warm share of what a warm one finishes for this router (ColdBudget::Fits); a router of 300 sees little, what it last saw was a crowd, and where all warm ones are replaced it never learns more. Ruled out: their positions (no misses there) and health (no suspects: they answered).

--- a/src/limits/cold_budget.cpp
+++ b/src/limits/cold_budget.cpp
@@ -17,13 +17,20 @@
   return std::clamp(settings.cold_from + (1 - settings.cold_from) * age, 0.0, 1.0);
 }
 
+double EvenRate(const Settings& settings, std::size_t servers) {
+  double quotas = 0;
+  for (const TenantSettings& tenant : settings.tenants) quotas += tenant.quota_per_s;
+  return quotas / 1e6 / static_cast<double>(std::max<std::size_t>(servers, 1));
+}
+
 // A router that knows nothing counts on its even part of one request.
-bool ColdBudget::Fits(const Settings& settings, Micros now, double cost, double warmth, double warm_rate) {
+bool ColdBudget::Fits(const Settings& settings, Micros now, double cost, const Server& server) {
   while (!sent_.empty() && now - sent_.front().first > settings.fall) sent_.pop_front();
   double used = draw_ * cost;
   for (const auto& sent : sent_) used += sent.second;
-  const double budget = kMargin * warmth * warm_rate * static_cast<double>(settings.fall);
-  return used < std::max(budget, cost / std::max(settings.gateways, 1));
+  const double window = server.warmth * static_cast<double>(settings.fall);
+  const double even = std::max(1.0, server.even_rate * window) / std::max(settings.gateways, 1);
+  return used < std::max(kMargin * server.warm_rate * window, even * cost);
 }
 
 }  // namespace tulipyoke::limits
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -51,8 +51,7 @@
 constexpr double kForgetDeadlines = 2.0;
 // What a new connection and another zone add to a server's time, as shares of a usual answer; and how much of
 // the time that an idle connection lasts is left.
-constexpr double kNewLinkShare = 0.3;
-constexpr double kFarShare = 0.3;
+constexpr double kWayShare = 0.3;
 constexpr double kLinked = 0.4;
 // Slowest apply rate that is believed: a replica that stands still may go on at any moment.
 constexpr double kLeastRate = 0.05;
@@ -163,6 +162,7 @@
   std::map<ServerId, Server> servers;
   std::map<int, Group> groups;
   sessions::Commits commits;
+  std::size_t most_open = 0;  // servers that were in service at once
   std::vector<double> class_latency;
   double resends = 1;
   double probe_budget = 1, burst = 1;  // burst: this router's part of what all may do at once
@@ -367,6 +367,8 @@
     }
     for (const ListEntry& e : news.entries) TakeEntry(e, news.kind == ListKind::kCached);
     for (auto& [number, g] : groups) FindPrimary(g);
+    most_open = std::max<std::size_t>(most_open, std::count_if(servers.begin(), servers.end(),
+                                                               [](const auto& e) { return e.second.open; }));
     PumpAll();
   }
   void TakeEntry(const ListEntry& e, bool cached) {
@@ -481,9 +483,11 @@
     if (count > 0) g.warm_rate = sum / count;
   }
   bool ColdAllows(Server& s, int class_index) {
-    const double warmth = Warmth(s), rate = groups[s.group].warm_rate;
+    const double warmth = Warmth(s);
+    const double even = limits::EvenRate(settings, most_open);
     return warmth >= 1 ||
-           s.cold_budget.Allows(settings, now, Usual(class_index), warmth, rate, [this] { return Chance(); });
+           s.cold_budget.Allows(settings, now, Usual(class_index), {warmth, groups[s.group].warm_rate, even},
+                                [this] { return Chance(); });
   }
 
   // ---- Arrival -------------------------------------------------------------------------------------------
@@ -562,7 +566,7 @@
   double Way(const Server& s, int class_index) const {
     const bool linked = s.last_answer != kUnknown && Faded(s.last_answer) > kLinked;
     const bool far = settings.cross_zone_price > 0 && s.zone != settings.zone;
-    return Usual(class_index) * ((linked ? 0 : kNewLinkShare) + (far ? kFarShare : 0));
+    return kWayShare * Usual(class_index) * ((linked ? 0 : 1) + (far ? 1 : 0));
   }
   // The lowest sum of own load, own smoothed time, the way, predicted wait and what is left of a reported
   // queue.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,7 +1,12 @@
 // What one router of hundreds does: it sees little, and what it costs servers is paid by all of them.
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <numeric>
+#include <random>
 #include <set>
+#include <tuple>
+#include <vector>
 
 #include "src/sessions/commits.hpp"
 #include "tests/scene.hpp"
@@ -134,6 +139,71 @@
   EXPECT_LE(used.size(), 2u);
 }
 
+// What 300 routers together send a server that has just started, by tenths of a second. `skewed`: some see
+// many times what others do.
+std::vector<int> SentToACold(bool skewed) {
+  constexpr int kRouters = 300, kTenths = 180;
+  constexpr double kQuota = 240, kOffered = 200;  // a second, of three servers
+  Settings settings = FleetSettings();
+  settings.tenants = {{"all", kQuota, 1}};
+  settings.cold_from = 0.15;
+  settings.warm_after = 18 * kSecond;
+  settings.fall = 3 * kSecond;
+  settings.fall_multiple = 3;
+  std::vector<std::unique_ptr<Scene>> routers;
+  std::vector<double> weights;
+  for (int i = 0; i < kRouters; ++i) {
+    routers.push_back(std::make_unique<Scene>(settings, static_cast<std::uint64_t>(i)));
+    weights.push_back(skewed ? 1.0 / (1 + i % 30) : 1.0);
+    ListEntry cold = Ready(3);
+    cold.boot_time = routers.back()->now();
+    ListEntry leaves = Ready(2);
+    leaves.state = ServerState::kDraining;
+    routers.back()->List(ListKind::kDelta, {cold, leaves});
+    routers.back()->Probed(1, 0, true);  // the primary takes no reads but in need
+  }
+  std::mt19937 random(7);
+  std::discrete_distribution<int> whose(weights.begin(), weights.end());
+  std::vector<int> sent;
+  RequestId next = 0;
+  for (int tenth = 0; tenth < kTenths; ++tenth) {
+    sent.push_back(0);
+    std::vector<std::tuple<int, RequestId, ServerId>> out;
+    for (int i = 0; i < kOffered / 10; ++i) {
+      const int router = whose(random);
+      const RequestId id = ++next;
+      const auto to = SentTo(routers[static_cast<std::size_t>(router)]->Arrive(id, kAnyRead), id);
+      if (to) out.emplace_back(router, id, *to);
+    }
+    for (const auto& router : routers) {
+      for (const Send& late : Only<Send>(router->Pass(60 * kMs))) sent.back() += late.server == 3;
+    }
+    for (const auto& [router, id, to] : out) {
+      sent.back() += to == 3;
+      Scene& scene = *routers[static_cast<std::size_t>(router)];
+      scene.End(id, to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
+    }
+    for (const auto& router : routers) router->Pass(40 * kMs);
+  }
+  return sent;
+}
+
+// Guards against "one each" from hundreds of routers, and against a budget that is next to nothing because
+// each sees next to nothing. The server bears an even part of the quota once it is warm.
+TEST(Fleet, HundredsOfRoutersTogetherKeepTheColdRuleAndUseTheServer) {
+  for (const bool skewed : {false, true}) {
+    const std::vector<int> sent = SentToACold(skewed);
+    for (std::size_t from = 0; from + 30 <= sent.size(); ++from) {
+      const int window = std::accumulate(sent.begin() + static_cast<std::ptrdiff_t>(from),
+                                         sent.begin() + static_cast<std::ptrdiff_t>(from) + 30, 0);
+      const double present = 0.15 + 0.85 * static_cast<double>(from) / 180;
+      const double capacity = 80 * 3 * present;  // requests in a window
+      EXPECT_LT(window, 2 * capacity) << skewed << " " << from;
+      EXPECT_GT(window, from < 30 ? 0 : 0.35 * capacity) << skewed << " " << from;
+    }
+  }
+}
+
 // Guards against sessions that fill the memory, and against a stale read by forgetting.
 TEST(Commits, ForgettingMergesOldOnesIntoTheFloorOfTheirGroup) {
   sessions::Commits commits;
