--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -625,6 +625,8 @@
   const auto begin = std::chrono::steady_clock::now();
   node.Stop();  // the longest deadline is 20 s; nobody closes by himself
   EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::milliseconds(3300));
+  // Guards against a loop that spins until it ends: what it owes then waits for the core, and is lost.
+  EXPECT_LT(node.turns(), 2000u);
 }
 
 // Guards against being killed with a request unanswered: a deadline over 3 s is not waited for.
