--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,7 +41,7 @@
 constexpr double kAdmitStep = 0.035;
 constexpr double kAdmitCut = 0.9;
 constexpr double kAdmitLeast = 0.1;
-// Servers asked for their queue for one read: of three in a row one is sound on most bad days; each costs.
+// Servers that one read asks for their queue, or that turn it away: of three one is sound on most bad days.
 constexpr int kLooks = 3;
 // Probes for waiting reads, as a share of arrivals; the rest wait for what answers show.
 constexpr double kProbeShare = 0.2;
