Spread tries for a lost list over the fleet, and turn clients' further tries away first

From 20 to 24 s 3,520 attempts ended as connect_failed after 0.4 ms, at servers that were gone. To blame: the back-off in DiscoveryWatch::Lost, the same for all. Ruled out: a full table of connections (refused at once, not after a wait).

To blame: the admission by lot, which took first and further tries alike, and the weight of eight for an answer after a silence (one late answer in ten is no crowd, but turned a tenth of the reads away).

--- /dev/null
+++ b/src/limits/crowding.cpp
@@ -0,0 +1,54 @@
+#include "src/limits/crowding.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tulipyoke::limits {
+namespace {
+
+// At these one late answer in four is no sign of too many; never below the least, so that it is found out
+// when there is room again.
+constexpr double kStep = 0.035;
+constexpr double kCut = 0.9;
+constexpr double kLeast = 0.1;
+// Hundreds of routers see little each, and what one saw a while ago says less than what it sees now.
+constexpr double kMostWeight = 3.0;
+// Share of a new read in the share of late ones: about the last twenty count.
+constexpr double kLateStep = 0.05;
+// Of the requests of a class so many in a hundred are taken to be further tries, at most.
+constexpr std::size_t kFurther = 75;
+
+}  // namespace
+
+bool FirstTries::IsLate(Micros remaining, Micros aim) {
+  seen_[count_++ % seen_.size()] = remaining;
+  std::array<Micros, 16> sorted = seen_;
+  const std::size_t known = std::min(count_, seen_.size());
+  const auto first = sorted.begin() + static_cast<std::ptrdiff_t>((known - 1) * kFurther / 100);
+  std::nth_element(sorted.begin(), first, sorted.begin() + static_cast<std::ptrdiff_t>(known));
+  return remaining + aim / 2 < *first;
+}
+
+double Crowding::Admitted(Micros now, Micros span) const {
+  const double silence = static_cast<double>(now - heard_) / static_cast<double>(std::max<Micros>(span, 1));
+  return 1 - (1 - admit_) * std::exp(-silence);
+}
+
+void Crowding::Answered(Micros now, Micros span, Micros gap, bool in_time) {
+  const double silence = static_cast<double>(now - heard_) / static_cast<double>(std::max<Micros>(gap, 1));
+  const double weight = std::clamp(silence, 1.0, kMostWeight);
+  const double admitted = Admitted(now, span);
+  admit_ = in_time ? std::min(1.0, admitted + weight * kStep)
+                   : std::max(kLeast, admitted * std::pow(kCut, weight));
+  heard_ = now;
+}
+
+bool Crowding::TurnsAway(Micros now, Micros span, bool late, double chance) {
+  late_ += kLateStep * ((late ? 1 : 0) - late_);
+  const double admitted = Admitted(now, span);
+  const double first = 1 - late_;
+  if (!late) return chance * first >= admitted;
+  return chance * late_ >= admitted - first;
+}
+
+}  // namespace tulipyoke::limits
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -17,8 +17,6 @@
 constexpr auto kSilence = std::chrono::milliseconds(5000);
 // The agent runs on this machine: a connection that is not up by then never comes up.
 constexpr auto kConnectWait = std::chrono::milliseconds(1000);
-constexpr std::chrono::milliseconds kFirstRetry(100);
-constexpr int kMostDoublings = 4;
 constexpr std::size_t kLongestLine = std::size_t{4} << 20;
 constexpr std::size_t kReadSize = 16384;
 
@@ -69,7 +67,7 @@
 };
 
 DiscoveryWatch::DiscoveryWatch(asio::io_context& io, Sink sink, const std::string& address,
-                               std::uint64_t version)
+                               std::uint64_t version, const limits::ListPace& pace)
     : io_(io),
       sink_(std::move(sink)),
       endpoint_(address.empty() ? asio::ip::tcp::endpoint() : ToEndpoint(address)),
@@ -77,6 +75,7 @@
       version_(version),
       silence_(io),
       retry_(io),
+      pace_(pace),
       stopped_(address.empty()) {
   if (!stopped_) Connect();
 }
@@ -119,7 +118,7 @@
 
 void DiscoveryWatch::Take(const SessionPtr& session, const std::string& line) {
   const bool current = session == session_;
-  if (current) failures_ = 0;
+  if (current) pace_.Heard();
   if (line.find_first_not_of(" \t\r") == std::string::npos) return;
   try {
     const Listing listing = ParseListing(line);
@@ -143,10 +142,8 @@
   silence_.cancel();
   ++counters_.lost;
   // Said once an outage: the tries that follow it are counted.
-  if (failures_ == 0) LogWarning("discovery_lost", "discovery watch lost: " + why, {{"why", why}});
-  const auto pause = kFirstRetry * (1 << std::min(failures_, kMostDoublings));
-  ++failures_;
-  retry_.expires_after(pause);
+  if (pace_.failures() == 0) LogWarning("discovery_lost", "discovery watch lost: " + why, {{"why", why}});
+  retry_.expires_after(std::chrono::microseconds(pace_.AfterFailure()));
   retry_.async_wait([this](std::error_code error) {
     if (!error && !stopped_) Connect();
   });
@@ -176,7 +173,7 @@
   endpoint_ = ToEndpoint(address);
   host_ = address;
   version_ = 0;
-  failures_ = 0;
+  pace_.Heard();
   retry_.cancel();
   // Told twice in a row, before the first new address has said anything: the oldest one still has the list.
   if (!former_)
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/exchange/listing.hpp"
+#include "src/limits/list_pace.hpp"
 
 namespace tulipyoke::net {
 
@@ -48,7 +49,8 @@
   using Sink = std::function<void(const Listing&)>;
 
   // Without an address there is none to watch.
-  DiscoveryWatch(asio::io_context& io, Sink sink, const std::string& address, std::uint64_t version);
+  DiscoveryWatch(asio::io_context& io, Sink sink, const std::string& address, std::uint64_t version,
+                 const limits::ListPace& pace);
 
   // Asks for the whole list anew.
   void Refresh();
@@ -79,7 +81,7 @@
   asio::steady_timer silence_, retry_;
   SessionPtr session_;
   SessionPtr former_;  // the watch on the address before, until the new one has told something
-  int failures_ = 0;
+  limits::ListPace pace_;
   bool stopped_ = false;
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -120,7 +120,7 @@
       directory_(MakeDirectory()),
       discovery_(
           io_, [this](const Listing& listing) { HeardRegistry(listing); }, WatchedAddress(config),
-          config.known.version),
+          config.known.version, limits::ListPace(config.settings, config.seed)),
       handover_(io_, config.accept_fd < 0 ? "" : config.temporary, config.name, config.seed,
                 HandoverEvents()),
       due_timer_(io_),
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "src/limits/cold_budget.hpp"
+#include "src/limits/crowding.hpp"
 #include "src/sessions/commits.hpp"
 #include "tulipyoke/router.hpp"
 
@@ -24,10 +25,9 @@
 // An answer later than this share of its aim is such a sign: a full aim leaves nothing for waiting or a
 // second try.
 constexpr double kCrowdedAim = 0.6;
-// What comes after a silence counts for more than one of many: up to these. Hundreds of routers see little
-// each, and what one saw a while ago says less than what it sees now.
-constexpr double kMostShare = 0.5;   // of a new sample in a smoothed value
-constexpr double kMostWeight = 8.0;  // of an answer, in answers that come at every check
+// What comes after a silence counts for more in a smoothed value than one of many: up to this share. Hundreds
+// of routers see little each, and what one saw a while ago says less than what it sees now.
+constexpr double kMostShare = 0.5;
 // Share of its aim within which a read that needs no position is served by a replica too stale for others.
 constexpr double kSpareAim = 0.5;
 // Share of turned-away reads that its primary is given: it grows by kSpareStep with each answer there within
@@ -36,11 +36,6 @@
 constexpr double kSpareStep = 0.1;
 constexpr double kSpareCut = 0.5;
 constexpr double kSpareTimes = 2.0;
-// Share of reads that a group's replicas are given: at kAdmitStep and kAdmitCut one late answer in four is
-// no sign of too many; never below kAdmitLeast, so that it is found out when there is room again.
-constexpr double kAdmitStep = 0.035;
-constexpr double kAdmitCut = 0.9;
-constexpr double kAdmitLeast = 0.1;
 // Servers that one read asks for their queue, or that turn it away: of three one is sound on most bad days.
 constexpr int kLooks = 3;
 // Probes for waiting reads, as a share of arrivals; the rest wait for what answers show.
@@ -134,6 +129,7 @@
   Micros look_until = 0;
   Micros first_maybe = kUnknown;  // send of the first attempt that may have run or is out
   bool maybe_ran = false, held = false, turned_away = false, admitted = false, shed = false;
+  bool late = false;  // a further try of its client, as far as its wait tells
   std::optional<ServerId> choice = {};
   Micros rescore_at = 0;
   std::vector<ServerId> failed_at = {};
@@ -143,9 +139,9 @@
   std::vector<ServerId> members;
   std::vector<RequestId> held;
   bool has_primary = false;
-  double admit = 1;  // share of reads that its replicas are given
-  double spare = 0;  // share of the reads turned away that its primary is given
-  Micros admit_time = 0, spare_time = 0;
+  limits::Crowding crowding;  // of its replicas
+  double spare = 0;           // share of the reads turned away that its primary is given
+  Micros spare_time = 0;
   ServerId primary = 0;
   double warm_rate = 0;  // what a warm member was last seen to finish for this router, a microsecond
 };
@@ -164,6 +160,7 @@
   sessions::Commits commits;
   std::size_t most_open = 0;  // servers that were in service at once
   std::vector<double> class_latency;
+  std::vector<limits::FirstTries> first_tries;
   double resends = 1;
   double probe_budget = 1, burst = 1;  // burst: this router's part of what all may do at once
   bool housekeeping_set = false, sessions_known = true;
@@ -183,6 +180,7 @@
       if (c.freshness == Freshness::kBounded) tightest_bound = std::min(tightest_bound, c.bound);
       class_latency.push_back(kFirstGuess * static_cast<double>(c.aim));
     }
+    first_tries.resize(settings.classes.size());
     settings.gateways = std::max(settings.gateways, 1);
     burst = probe_budget = std::max(1.0, kResendBurst / settings.gateways);
     settings.tick = std::max<Micros>(settings.tick, 1);
@@ -222,12 +220,13 @@
   // ---- Smoothed times and load ---------------------------------------------------------------------------
 
   // What is left of something seen at that time; nothing has confirmed it since.
+  Micros FadeSpan() const {
+    return static_cast<Micros>(kForgetDeadlines * static_cast<double>(std::max<Micros>(longest_deadline, 1)));
+  }
   double Faded(Micros since) const {
-    const double span = kForgetDeadlines * static_cast<double>(std::max<Micros>(longest_deadline, 1));
-    return std::exp(-static_cast<double>(now - since) / span);
+    return std::exp(-static_cast<double>(now - since) / static_cast<double>(FadeSpan()));
   }
   double Slowness(const Server& s) const { return 1 + (s.slowness - 1) * Faded(s.slowness_time); }
-  double Admitted(const Group& g) const { return 1 - (1 - g.admit) * Faded(g.admit_time); }
   // Of a primary that has not answered of late, each router takes its part of the first share.
   double Spare(const Group& g) const {
     const double first = kSpareCut / settings.gateways;
@@ -499,6 +498,8 @@
     if (!known_class || !groups.contains(e.group)) return Do(Refuse{e.id, 0});
     Request r{.id = e.id, .class_index = e.class_index, .group = e.group, .key = e.key, .arrived = now};
     r.deadline = now + std::max<Micros>(e.remaining, 0);
+    r.late =
+        first_tries[static_cast<std::size_t>(r.class_index)].IsLate(e.remaining, ClassOf(r.class_index).aim);
     if (ClassOf(r.class_index).freshness == Freshness::kSession) {
       if (settings.token_mode == TokenMode::kCarried) {
         if (e.wrote_ms_ago > 0) {
@@ -658,7 +659,7 @@
       Server* guess = asked || c.freshness != Freshness::kWrite ? nullptr : GuessPrimary(r);
       return guess ? SendTo(r, *guess) : Hold(r);
     }
-    if (!r.admitted) r.shed = Chance() >= Admitted(groups[r.group]);
+    if (!r.admitted) r.shed = groups[r.group].crowding.TurnsAway(now, FadeSpan(), r.late, Chance());
     r.admitted = true;
     if (r.shed && c.freshness == Freshness::kBounded && !ShownToAny(r)) return GiveUp(r);
     if (r.shed) return UseSpareRoom(r);
@@ -714,7 +715,7 @@
   // queue is asked for it before a read is sent there. True while that is awaited.
   bool Look(Request& r, Server& s) {
     const bool awaited = now < r.look_until && servers[r.looking].probing;
-    const bool calm = Admitted(groups[r.group]) >= 1 && s.queued < 1;
+    const bool calm = groups[r.group].crowding.Admitted(now, FadeSpan()) >= 1 && s.queued < 1;
     const bool fresh = static_cast<double>(now - s.queue_time) <= Expected(s, r.class_index);
     const bool can = queue_field != kUnknown && settings.may_probe && r.looks < kLooks;
     if (!awaited && (!can || calm || fresh)) return false;
@@ -849,11 +850,7 @@
       if (quick) g.spare = std::min(1.0, g.spare + kSpareStep);
       if (crowd || (ok && !quick)) g.spare *= kSpareCut;
     } else if (in_time || crowd) {
-      const double silence = static_cast<double>(now - g.admit_time);
-      const double weight = std::clamp(Ratio(silence, static_cast<double>(check_gap)), 1.0, kMostWeight);
-      g.admit = in_time ? std::min(1.0, Admitted(g) + weight * kAdmitStep)
-                        : std::max(kAdmitLeast, Admitted(g) * std::pow(kAdmitCut, weight));
-      g.admit_time = now;
+      g.crowding.Answered(now, FadeSpan(), check_gap, in_time);
     }
     const bool write = ClassOf(c).freshness == Freshness::kWrite;
     if (e.role != Role::kUnknown) HearRole(s, e.role, now);
