Judge a server that started anew anew, and let writes wait for a cold primary that is known

It had come back cold at 11.8 s; ColdAllows had no room for them, and Route went on to GuessPrimary and SearchPrimary as if nobody was known.

Also there: from 14 to 18 s the 20 servers that were back took 1 to 6 attempts a second, warm ones 45 to 60 and up to 49 timeouts. The time-outs of the outage had made them seem 10 times slower, and that fades over twice the longest deadline, a write's 5 s. To blame: TakeEntry and Trust, which noted the start and kept the rest.

The tests were seen to fail without their mends.

--- a/src/limits/crowding.cpp
+++ b/src/limits/crowding.cpp
@@ -15,9 +15,19 @@
 constexpr double kMostWeight = 3.0;
 // Share of a new read in the share of late ones: about the last twenty count.
 constexpr double kLateStep = 0.05;
+// The share of spare room grows by the step with each quick answer and falls to the cut of itself with each
+// slow one; in large steps, since one router of hundreds sees few answers there, and balanced so that one
+// slow answer in six is no sign.
+constexpr double kSpareStep = 0.1;
+constexpr double kSpareCut = 0.5;
 // Of the requests of a class so many in a hundred are taken to be further tries, at most.
 constexpr std::size_t kFurther = 75;
 
+// What is left of something heard at that time; nothing has confirmed it since.
+double Faded(Micros now, Micros heard, Micros span) {
+  return std::exp(-static_cast<double>(now - heard) / static_cast<double>(std::max<Micros>(span, 1)));
+}
+
 }  // namespace
 
 bool FirstTries::IsLate(Micros remaining, Micros aim) {
@@ -30,8 +40,7 @@
 }
 
 double Crowding::Admitted(Micros now, Micros span) const {
-  const double silence = static_cast<double>(now - heard_) / static_cast<double>(std::max<Micros>(span, 1));
-  return 1 - (1 - admit_) * std::exp(-silence);
+  return 1 - (1 - admit_) * Faded(now, heard_, span);
 }
 
 void Crowding::Answered(Micros now, Micros span, Micros gap, bool in_time) {
@@ -51,4 +60,16 @@
   return chance * late_ >= admitted - first;
 }
 
+double SpareRoom::Share(Micros now, Micros span, int gateways) const {
+  const double first = kSpareCut / std::max(gateways, 1);
+  return first + (share_ - first) * Faded(now, heard_, span);
+}
+
+void SpareRoom::Answered(Micros now, Micros span, int gateways, bool quick, bool slow) {
+  share_ = Share(now, span, gateways);
+  heard_ = now;
+  if (quick) share_ = std::min(1.0, share_ + kSpareStep);
+  if (slow) share_ *= kSpareCut;
+}
+
 }  // namespace tulipyoke::limits
--- a/src/limits/crowding.hpp
+++ b/src/limits/crowding.hpp
@@ -41,6 +41,19 @@
   double late_ = 0;  // smoothed share of the reads that come late
 };
 
+// The share of the reads turned away that a group's primary is given.
+class SpareRoom {
+ public:
+  // Of a primary that has not answered of late, each router takes its part of the first share.
+  double Share(Micros now, Micros span, int gateways) const;
+  // It answered, quickly or slowly; one that was neither tells nothing.
+  void Answered(Micros now, Micros span, int gateways, bool quick, bool slow);
+
+ private:
+  double share_ = 0;
+  Micros heard_ = 0;
+};
+
 }  // namespace tulipyoke::limits
 
 #endif  // TULIPYOKE_SRC_LIMITS_CROWDING_HPP_
--- a/src/limits/list_pace.cpp
+++ b/src/limits/list_pace.cpp
@@ -7,8 +7,9 @@
 
 constexpr Micros kFirstRetry = 100'000;
 constexpr int kMostDoublings = 4;
-// The tries of all routers together: one in that time at first, half as often with each failure. At the longest
-// they are spread over twice the time within which each has to ask; after a failed call it has four times that.
+// The tries of all routers together: one in that time at first, half as often with each failure. At the
+// longest they are spread over twice the time within which each has to ask; after a failed call it has four
+// times that.
 constexpr Micros kGap = 50'000;
 constexpr Micros kLongest = 2;
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,12 +30,11 @@
 constexpr double kMostShare = 0.5;
 // Share of its aim within which a read that needs no position is served by a replica too stale for others.
 constexpr double kSpareAim = 0.5;
-// Share of turned-away reads that its primary is given: it grows by kSpareStep with each answer there within
-// kSpareTimes usual times and falls to kSpareCut of itself with each later one; in large steps, since one
-// gateway of hundreds sees few answers there, and balanced so that one slow answer in six is no sign.
-constexpr double kSpareStep = 0.1;
-constexpr double kSpareCut = 0.5;
+// An answer of a primary within so many usual times says that it has room to spare.
 constexpr double kSpareTimes = 2.0;
+// What only a primary can take has so many of the even parts of a cold server; a cold primary has no spare
+// room.
+constexpr double kOnlyPlace = 2.0;
 // Servers that one read asks for their queue, or that turn it away: of three one is sound on most bad days.
 constexpr int kLooks = 3;
 // Probes for waiting reads, as a share of arrivals; the rest wait for what answers show.
@@ -140,8 +139,7 @@
   std::vector<RequestId> held;
   bool has_primary = false;
   limits::Crowding crowding;  // of its replicas
-  double spare = 0;           // share of the reads turned away that its primary is given
-  Micros spare_time = 0;
+  limits::SpareRoom spare;    // of its primary
   ServerId primary = 0;
   double warm_rate = 0;  // what a warm member was last seen to finish for this router, a microsecond
 };
@@ -227,21 +225,12 @@
     return std::exp(-static_cast<double>(now - since) / static_cast<double>(FadeSpan()));
   }
   double Slowness(const Server& s) const { return 1 + (s.slowness - 1) * Faded(s.slowness_time); }
-  // Of a primary that has not answered of late, each router takes its part of the first share.
-  double Spare(const Group& g) const {
-    const double first = kSpareCut / settings.gateways;
-    return first + (g.spare - first) * Faded(g.spare_time);
-  }
   double Usual(int class_index) const { return class_latency[static_cast<std::size_t>(class_index)]; }
   double Expected(const Server& s, int class_index) const { return Usual(class_index) * Slowness(s); }
   double Failing(const Server& s) const {
     return s.failing *
            std::exp(-Ratio(static_cast<double>(now - s.failing_time), static_cast<double>(longest_aim)));
   }
-  // With the tries that it takes there on average.
-  double ExpectedInAll(const Server& s, int class_index) const {
-    return Expected(s, class_index) / (1 - std::min(Failing(s), kMostFailing));
-  }
   void CountOutcome(Server& s, bool failed) {
     s.failing = Failing(s) + kFailureStep * ((failed ? 1 : 0) - Failing(s));
     s.failing_time = now;
@@ -387,7 +376,7 @@
     if (e.state == ServerState::kReady) s.open = true;
     if (e.boot_time > s.boot) {
       s.boot = e.boot_time;
-      s.cold_since = std::max(s.cold_since, e.boot_time);
+      StartedAnew(s, std::max(s.cold_since, e.boot_time));
     } else if (fresh && !cached && e.boot_time == 0) {
       s.cold_since = now;
     }
@@ -427,9 +416,19 @@
     s.back_off = 0;
     if (!s.suspect) return;
     // A server out of reach for as long as a fall takes may have been started anew before the list says so.
-    if (s.unreachable && now - s.suspect_from > settings.fall) s.cold_since = now;
+    if (s.unreachable && now - s.suspect_from > settings.fall) StartedAnew(s, now);
     s.suspect = s.unreachable = false;
   }
+  // What was learned of the process before says nothing of this one: it would be passed over until that
+  // fades.
+  void StartedAnew(Server& s, Micros when) {
+    s.cold_since = when;
+    s.slowness = s.rate = 1;
+    s.failing = s.queued = 0;
+    s.back_off = s.next_try = 0;
+    s.limit = kNoLimit;
+    if (when > s.suspect_since) s.suspect = s.unreachable = false;
+  }
   // One request at a time tries a suspect, and only when a probe has come back.
   bool MayTry(const Server& s) const {
     const auto trial = [&](const Flight& f) { return f.sent >= s.suspect_since && !f.cancelled; };
@@ -483,7 +482,8 @@
   }
   bool ColdAllows(Server& s, int class_index) {
     const double warmth = Warmth(s);
-    const double even = limits::EvenRate(settings, most_open);
+    const double parts = NeedsPrimary(ClassOf(class_index)) ? kOnlyPlace : 1;
+    const double even = parts * limits::EvenRate(settings, most_open);
     return warmth >= 1 ||
            s.cold_budget.Allows(settings, now, Usual(class_index), {warmth, groups[s.group].warm_rate, even},
                                 [this] { return Chance(); });
@@ -583,7 +583,8 @@
       if ((g.has_primary && g.primary == id) || !Usable(s, r)) continue;
       if (needed != kUnknown && s.position == kUnknown && !Ready(s, needed)) continue;
       const double others = OthersLoad(s, r.class_index);
-      double score = Load(s) + ExpectedInAll(s, r.class_index) + PredictedWait(s, needed) + others;
+      const double tries = 1 / (1 - std::min(Failing(s), kMostFailing));  // that it takes there on average
+      double score = Load(s) + tries * Expected(s, r.class_index) + PredictedWait(s, needed) + others;
       // A queue that leaves no time: hung, crowded or returning, none of it is served in time.
       if (others > 0 && others > static_cast<double>(LastUseful(r) - now)) continue;
       // Stale: too old for the tightest bound that a class has.
@@ -655,6 +656,8 @@
     const ClassSettings& c = ClassOf(r.class_index);
     if (NeedsPrimary(c)) {
       if (Server* s = ChoosePrimary(r)) return SendTo(r, *s);
+      if (const Server* s = Find(groups[r.group].primary); s && s->open && MayTry(*s) && s->next_try <= now)
+        return Hold(r);  // known and sound, it only has no room yet: nobody else can take it
       const bool asked = SearchPrimary(r.group);
       Server* guess = asked || c.freshness != Freshness::kWrite ? nullptr : GuessPrimary(r);
       return guess ? SendTo(r, *guess) : Hold(r);
@@ -706,9 +709,10 @@
   void UseSpareRoom(Request& r) {
     const Group& g = groups[r.group];
     const bool drawn = r.looks > 0 && r.looking == g.primary;
-    Server* s = drawn || Chance() < Spare(g) ? ChoosePrimary(r) : nullptr;
+    Server* s =
+        drawn || Chance() < g.spare.Share(now, FadeSpan(), settings.gateways) ? ChoosePrimary(r) : nullptr;
     if (s && Look(r, *s)) return;
-    if (!s || OthersLoad(*s, r.class_index) > 0) return GiveUp(r);
+    if (!s || Warmth(*s) < 1 || OthersLoad(*s, r.class_index) > 0) return GiveUp(r);
     SendTo(r, *s);
   }
   // Where answers of the group were late, or it had a queue when last heard of, a server that reports its
@@ -845,10 +849,7 @@
     Group& g = groups[s.group];
     if (g.primary == s.id) {
       const bool quick = ok && static_cast<double>(e.elapsed) < kSpareTimes * Usual(c);
-      g.spare = Spare(g);
-      g.spare_time = now;
-      if (quick) g.spare = std::min(1.0, g.spare + kSpareStep);
-      if (crowd || (ok && !quick)) g.spare *= kSpareCut;
+      g.spare.Answered(now, FadeSpan(), settings.gateways, quick, crowd || (ok && !quick));
     } else if (in_time || crowd) {
       g.crowding.Answered(now, FadeSpan(), check_gap, in_time);
     }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,6 +1,7 @@
 // What one router of hundreds does: it sees little, and what it costs servers is paid by all of them.
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 #include <numeric>
 #include <random>
@@ -204,6 +205,59 @@
   }
 }
 
+// Guards against writes that go round replicas, and are refused after eight misses, while their primary is
+// known and has only just started: they wait for it. All routers together keep to the rule.
+TEST(Fleet, WritesWaitForAColdPrimaryThatIsKnown) {
+  constexpr int kRouters = 300;
+  Settings settings = FleetSettings();
+  settings.tenants = {{"all", 240, 1}};  // a second, of three servers
+  settings.cold_from = 0.15;
+  settings.warm_after = 18 * kSecond;
+  settings.fall = 3 * kSecond;
+  settings.fall_multiple = 3;
+  int to_primary = 0, to_others = 0;
+  for (int i = 0; i < kRouters; ++i) {
+    Scene scene(settings, static_cast<std::uint64_t>(i));
+    // The one probe that there is has been spent.
+    for (const Probe& asked : Only<Probe>(scene.Arrive(1, kFreshRead))) scene.Probed(asked.server, 0, false);
+    scene.Probed(1, 0, true);
+    scene.End(1, 1, Status::kOk, Role::kPrimary, scene.now_ms());
+    ListEntry cold = Ready(1);
+    cold.boot_time = scene.now();
+    scene.List(ListKind::kDelta, {cold});
+    scene.Pass(900 * kMs);
+    auto actions = scene.Arrive(2, kUnsafeWrite, 0, 5 * kSecond);
+    const auto later = scene.Pass(2 * kSecond);
+    actions.insert(actions.end(), later.begin(), later.end());
+    for (const Send& s : Only<Send>(actions)) ++(s.server == 1 ? to_primary : to_others);
+  }
+  EXPECT_EQ(to_others, 0);
+  const double capacity = 80 * 3 * (0.15 + 0.85 * 1.5 / 18);  // requests in its first window
+  EXPECT_GT(to_primary, 1.2 * capacity);
+  EXPECT_LT(to_primary, 2.5 * capacity);
+}
+
+// Guards against a server that is passed over, long after it is back, for what the process before it did.
+TEST(Fleet, AServerThatStartedAnewIsJudgedAnew) {
+  Scene scene;
+  RequestId id = 0;
+  std::optional<ServerId> to;
+  while (to != 2u) {  // the other one is passed over once it is the busier one
+    ++id;
+    to = SentTo(scene.Arrive(id, kAnyRead), id);
+    ASSERT_TRUE(to && id < 10);
+  }
+  scene.Pass(kSecond);
+  scene.End(id, 2, Status::kTimeout, Role::kUnknown, {}, -1, true, kSecond);
+  if (id > 1) scene.End(1, 3, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
+  scene.Pass(kMs);
+  EXPECT_EQ(SentTo(scene.Arrive(id + 1, kAnyRead), id + 1), 3u);  // and is busy with it
+  ListEntry anew = Ready(2);
+  anew.boot_time = scene.now();
+  scene.List(ListKind::kDelta, {anew});
+  EXPECT_EQ(SentTo(scene.Arrive(id + 2, kAnyRead), id + 2), 2u);
+}
+
 // Guards against sessions that fill the memory, and against a stale read by forgetting.
 TEST(Commits, ForgettingMergesOldOnesIntoTheFloorOfTheirGroup) {
   sessions::Commits commits;
