Fill cold servers to what they can do, and hear of crowded groups more often

It was 1.6 times what warm ones finish, and these are half used. Now it is two thirds of fall_multiple, from the settings (2.0 here).

In crowded groups a router admitted one read in ten at least: of 1.5 a second that is one answer in seven seconds.

--- a/src/limits/cold_budget.cpp
+++ b/src/limits/cold_budget.cpp
@@ -5,9 +5,10 @@
 namespace tulipyoke::limits {
 namespace {
 
-// The budget as a multiple of the warm share of the natural traffic. A warm server can do more than what it
-// is seen to finish, so that this stays well under the multiple (2 and more) that makes a cold one fall.
-constexpr double kMargin = 1.6;
+// The share of what makes a cold server fall that it is sent, where warm ones are full; what it is sent is
+// reckoned by what warm ones finish. Those are half to three quarters used on most days, so that two thirds
+// of a multiple of 3 fill a cold one to what it can do.
+constexpr double kShareOfFall = 2.0 / 3;
 
 }  // namespace
 
@@ -30,7 +31,8 @@
   for (const auto& sent : sent_) used += sent.second;
   const double window = server.warmth * static_cast<double>(settings.fall);
   const double even = std::max(1.0, server.even_rate * window) / std::max(settings.gateways, 1);
-  return used < std::max(kMargin * server.warm_rate * window, even * cost);
+  const double margin = std::max(1.0, kShareOfFall * settings.fall_multiple);
+  return used < std::max(margin * server.warm_rate * window, even * cost);
 }
 
 }  // namespace tulipyoke::limits
--- a/src/limits/cold_budget.hpp
+++ b/src/limits/cold_budget.hpp
@@ -6,8 +6,8 @@
 // this router: right where it sees much, but next to nothing where it sees little or all warm servers are
 // gone. And by the settings: the tenants' quotas are what all servers are meant to bear, so that an even part
 // of them is what one server bears at least; all routers share that evenly. Together both stay under the
-// rule: 1.6 times the warm share of the traffic and once that of the quotas, which are under the capacity,
-// against fall_multiple (3) times the capacity.
+// rule: two thirds of fall_multiple (3) by the traffic and one by the quotas, which are under the capacity,
+// and each router takes only the larger one.
 #ifndef TULIPYOKE_SRC_LIMITS_COLD_BUDGET_HPP_
 #define TULIPYOKE_SRC_LIMITS_COLD_BUDGET_HPP_
 
--- a/src/limits/crowding.cpp
+++ b/src/limits/crowding.cpp
@@ -7,10 +7,11 @@
 namespace {
 
 // At these one late answer in four is no sign of too many; never below the least, so that it is found out
-// when there is room again.
+// when there is room again: a router of hundreds has few reads in a group, and of one in ten it would hear
+// too late.
 constexpr double kStep = 0.035;
 constexpr double kCut = 0.9;
-constexpr double kLeast = 0.1;
+constexpr double kLeast = 0.3;
 // Hundreds of routers see little each, and what one saw a while ago says less than what it sees now.
 constexpr double kMostWeight = 3.0;
 // Share of a new read in the share of late ones: about the last twenty count.
