Let a stand-in server do no more than its capacity, so that the flood test can be judged

Looked at: its 12 clients had 6,585 answers in 4.4 s, while each statement counts 2 ms of work at servers said to do one second of it a second. The stand-in answered each statement 2 ms after it came, however many there were, so the warm one did several times what the check took for its capacity, and the budget, which goes by what warm ones finish, was several times too large. To blame: PgServer::Query. It works one statement behind another now; the aim of that test is 1 s, since a busy machine had 25 of 970 requests refused at 300 ms.

--- a/standins/pg_server.cpp
+++ b/standins/pg_server.cpp
@@ -1,5 +1,6 @@
 #include "standins/pg_server.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <deque>
@@ -134,7 +135,8 @@
   }
   if (behaviour_.hangs) return;
   auto timer = std::make_shared<asio::steady_timer>(loop_.io());
-  timer->expires_after(std::chrono::microseconds(probe ? 0 : behaviour_.service));
+  if (!probe) free_at_ = std::max(now, free_at_) + behaviour_.work;
+  timer->expires_after(std::chrono::microseconds(probe ? 0 : std::max(behaviour_.service, free_at_ - now)));
   timer->async_wait([this, session, request, write, probe, timer](std::error_code error) {
     if (!error && sessions_.contains(session)) Answer(session, request, write, probe);
   });
--- a/standins/pg_server.hpp
+++ b/standins/pg_server.hpp
@@ -19,7 +19,7 @@
   bool primary = false;
   Micros lag = 0;          // how far a replica's position is behind
   Micros service = 2'000;  // until an answer
-  Micros work = 2'000;     // what one request costs a server at full capacity
+  Micros work = 2'000;     // what one request costs a server at full capacity, which does one after another
   bool hangs = false;      // takes requests and answers none
   bool refuses = false;    // 53300
   bool fails = false;      // XX000, though it ran
@@ -60,6 +60,7 @@
   std::uint16_t port_ = 0;
   PgBehaviour behaviour_;
   std::size_t accepted_ = 0, statements_ = 0;
+  Micros free_at_ = 0;  // when it will have worked off all that it took
   std::set<std::shared_ptr<Session>> sessions_;
 };
 
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -119,6 +119,7 @@
   const auto adjust = FromRecords("transfer");
   const auto three = [&](Config& config) {
     adjust(config);
+    config.settings.classes[0].aim = 1'000'000;  // a busy machine turns nobody away
     config.settings.gateways = 3;
     config.settings.may_probe = true;
     config.settings.reports = ReportVia::kProbe;
