Turn reads of a crowded group away by what their answers earn, the least first

Looked at: crowding draws reads by lot whatever their class, and bounded reads lose more on top, turned away by replicas that lag. To blame: Crowding::TurnsAway, which knew first and further tries only.

Fleet.ACrowdedGroupTakes... fails with the worth taken out.

--- a/src/limits/crowding.cpp
+++ b/src/limits/crowding.cpp
@@ -14,8 +14,6 @@
 constexpr double kLeast = 0.3;
 // Hundreds of routers see little each, and what one saw a while ago says less than what it sees now.
 constexpr double kMostWeight = 3.0;
-// Share of a new read in the share of late ones: about the last twenty count.
-constexpr double kLateStep = 0.05;
 // The share of spare room grows by the step with each quick answer and falls to the cut of itself with each
 // slow one; in large steps, since one router of hundreds sees few answers there, and balanced so that one
 // slow answer in six is no sign.
@@ -53,12 +51,15 @@
   heard_ = now;
 }
 
-bool Crowding::TurnsAway(Micros now, Micros span, bool late, double chance) {
-  late_ += kLateStep * ((late ? 1 : 0) - late_);
-  const double admitted = Admitted(now, span);
-  const double first = 1 - late_;
-  if (!late) return chance * first >= admitted;
-  return chance * late_ >= admitted - first;
+bool Crowding::TurnsAway(Micros now, Micros span, double earns, double chance) {
+  earns_[count_++ % earns_.size()] = earns;
+  const std::size_t known = std::min(count_, earns_.size());
+  double before = 0;  // of the newest reads, those that go before this one
+  for (std::size_t i = 0; i < known; ++i) {
+    if (earns_[i] > earns) before += 1;
+    if (earns_[i] == earns) before += chance;
+  }
+  return before / static_cast<double>(known) >= Admitted(now, span);
 }
 
 double SpareRoom::Share(Micros now, Micros span, int gateways) const {
--- a/src/limits/crowding.hpp
+++ b/src/limits/crowding.hpp
@@ -32,13 +32,15 @@
   double Admitted(Micros now, Micros span) const;
   // An answer; one after a silence counts for as many as come at every `gap`, up to a few.
   void Answered(Micros now, Micros span, Micros gap, bool in_time);
-  // Whether to turn a read away; `chance` is drawn from [0, 1). Late ones make room for the others.
-  bool TurnsAway(Micros now, Micros span, bool late, double chance);
+  // Whether to turn a read away whose answer earns so much; `chance` is drawn from [0, 1). Those that earn
+  // less make room for the others.
+  bool TurnsAway(Micros now, Micros span, double earns, double chance);
 
  private:
   double admit_ = 1;
   Micros heard_ = 0;
-  double late_ = 0;  // smoothed share of the reads that come late
+  std::array<double, 32> earns_{};  // what the newest reads earn
+  std::size_t count_ = 0;
 };
 
 // The share of the reads turned away that a group's primary is given.
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -128,7 +128,7 @@
   Micros look_until = 0;
   Micros first_maybe = kUnknown;  // send of the first attempt that may have run or is out
   bool maybe_ran = false, held = false, turned_away = false, admitted = false, shed = false;
-  bool late = false;  // a further try of its client, as far as its wait tells
+  double earns = 0;  // what an answer is worth, as far as its wait tells of earlier tries
   std::optional<ServerId> choice = {};
   Micros rescore_at = 0;
   std::vector<ServerId> failed_at = {};
@@ -498,9 +498,10 @@
     if (!known_class || !groups.contains(e.group)) return Do(Refuse{e.id, 0});
     Request r{.id = e.id, .class_index = e.class_index, .group = e.group, .key = e.key, .arrived = now};
     r.deadline = now + std::max<Micros>(e.remaining, 0);
-    r.late =
-        first_tries[static_cast<std::size_t>(r.class_index)].IsLate(e.remaining, ClassOf(r.class_index).aim);
-    if (ClassOf(r.class_index).freshness == Freshness::kSession) {
+    const ClassSettings& c = ClassOf(r.class_index);
+    const bool late = first_tries[static_cast<std::size_t>(r.class_index)].IsLate(e.remaining, c.aim);
+    r.earns = c.worth * (late ? c.late_worth : 1);
+    if (c.freshness == Freshness::kSession) {
       if (settings.token_mode == TokenMode::kCarried) {
         if (e.wrote_ms_ago > 0) {
           const auto ago = static_cast<float>(e.wrote_ms_ago);
@@ -662,7 +663,7 @@
       Server* guess = asked || c.freshness != Freshness::kWrite ? nullptr : GuessPrimary(r);
       return guess ? SendTo(r, *guess) : Hold(r);
     }
-    if (!r.admitted) r.shed = groups[r.group].crowding.TurnsAway(now, FadeSpan(), r.late, Chance());
+    if (!r.admitted) r.shed = groups[r.group].crowding.TurnsAway(now, FadeSpan(), r.earns, Chance());
     r.admitted = true;
     if (r.shed && c.freshness == Freshness::kBounded && !ShownToAny(r)) return GiveUp(r);
     if (r.shed) return UseSpareRoom(r);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -110,6 +110,25 @@
   EXPECT_GE(sent, 8);
 }
 
+// Guards against a crowded group that turns reads away alike, whatever they are worth.
+TEST(Fleet, ACrowdedGroupTakesTheReadsThatEarnMost) {
+  Settings settings = FleetSettings();
+  settings.classes[kSessionRead].worth = 3;
+  Scene scene(settings);
+  std::map<int, int> sent;
+  for (RequestId id = 1; id <= 400; ++id) {
+    scene.Pass(200 * kMs);
+    const int kind = id % 2 == 0 ? kAnyRead : kSessionRead;
+    const auto to = SentTo(scene.Arrive(id, kind), id);
+    if (!to) continue;
+    ++sent[kind];
+    // More than half of the answers are too late, so that less than half of the reads are admitted.
+    const Micros took = id % 10 < 6 ? 390 * kMs : 20 * kMs;
+    scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, took);
+  }
+  EXPECT_GT(sent[kSessionRead], 2 * sent[kAnyRead]);
+}
+
 // Guards against a read that goes round replicas which all lag, a wait and a connection at each.
 TEST(Fleet, AReadIsTurnedAwayThreeTimesAtMost) {
   Scene scene(FleetSettings());
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -99,7 +99,7 @@
   Taken taken;
   for (int i = 0; i < 1000; ++i) {
     const bool late = i % 2 == 1;
-    if (crowding.TurnsAway(now, 2 * kSecond, late, i / 1000.0)) continue;
+    if (crowding.TurnsAway(now, 2 * kSecond, late ? 0.2 : 1, i / 1000.0)) continue;
     ++(late ? taken.further : taken.first);
   }
   return taken;
