Pay for a further try only where one can follow, by what that try takes of the budget

The budget for further tries was empty: 2,754 own-reads and 1,199 history-reads that timed out at their aim were charged a try each, though none can follow then; and a try after an error takes two fifths, but was made only where a whole one was left. To blame: AfterFailure.

Ruled out: what is seen of failures fades within an aim, while a router meets the server once in seconds.

The test fails without either half.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -890,11 +890,12 @@
       r.maybe_ran = true;
     }
     if (r.out > 0) return;
-    if (e.status == Status::kMoot) return GiveUp(r);
+    if (e.status == Status::kMoot || now >= LastUseful(r) || !MaySend(r)) return GiveUp(r);
     // A turned-away attempt costs its server too: without a budget, ten tries each keep a full fleet full.
     if (!never_ran || e.status == Status::kFull || e.status == Status::kConnectFailed) {
-      if (resends < 1) return GiveUp(r);
-      resends -= e.status == Status::kError || e.status == Status::kReset ? kFailureCost : 1;
+      const double cost = e.status == Status::kError || e.status == Status::kReset ? kFailureCost : 1;
+      if (resends < cost) return GiveUp(r);
+      resends -= cost;
     }
     const bool read = !NeedsPrimary(ClassOf(r.class_index)), miss = e.status == Status::kMiss;
     if (miss) r.turned_away = true;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -129,6 +129,32 @@
   EXPECT_GT(sent[kSessionRead], 2 * sent[kAnyRead]);
 }
 
+// Guards against reads refused after one quick error with nearly all of their time left: reads that time out
+// at their aim, and so have no further try, took the budget of those that could have one.
+TEST(Fleet, OnlyAFurtherTryThatCanFollowIsPaidFor) {
+  Scene scene(FleetSettings());
+  std::vector<ListEntry> listed = {Ready(1), Ready(2), Ready(3), Ready(4)};
+  for (ServerId other = 11; other <= 16; ++other) listed.push_back(Ready(other, false, 1));
+  scene.List(ListKind::kCached, listed);
+  std::map<RequestId, ServerId> out;
+  for (RequestId id = 1; id <= 6; ++id) {
+    if (const auto to = SentTo(scene.Arrive(id, kAnyRead, 0, 1000 * kMs, 1), id)) out[id] = *to;
+  }
+  ASSERT_GE(out.size(), 4u);
+  scene.Pass(400 * kMs);
+  for (const auto& [id, to] : out) {
+    scene.End(id, to, Status::kTimeout, Role::kUnknown, {}, -1, false, 400 * kMs);
+  }
+  auto to = SentTo(scene.Arrive(10, kAnyRead), 10);
+  std::set<ServerId> tried;
+  while (to) {
+    EXPECT_TRUE(tried.insert(*to).second);
+    to = SentTo(scene.End(10, *to, Status::kError, Role::kReplica, scene.now_ms() - 5, -1, false, 4 * kMs),
+                10);
+  }
+  EXPECT_EQ(tried.size(), 3u);  // two further tries, at two fifths each, and the group has no more
+}
+
 // Guards against a read that goes round replicas which all lag, a wait and a connection at each.
 TEST(Fleet, AReadIsTurnedAwayThreeTimesAtMost) {
   Scene scene(FleetSettings());
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -99,9 +99,10 @@
     return {all_.begin() + static_cast<std::ptrdiff_t>(from), all_.end()};
   }
   std::vector<Action> Arrive(RequestId id, int class_index, std::uint64_t key = 0,
-                             Micros remaining = 1000 * kMs) {
+                             Micros remaining = 1000 * kMs, int group = 0) {
     RequestArrived e;
     e.id = id;
+    e.group = group;
     e.class_index = class_index;
     e.key = key;
     e.remaining = remaining;
