Keep what warm servers were seen to finish for the cold ones' budget when they leave

The cold budget is two thirds of the multiple, times the warm share, times the mean of what warm members finish now; with the others gone that was what the crowded one finished. To blame: LearnWarmRate. The mean's highest value now fades over a warm-up.

The test fails without it.

What fades within an aim has one function now.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -227,10 +227,11 @@
   double Slowness(const Server& s) const { return 1 + (s.slowness - 1) * Faded(s.slowness_time); }
   double Usual(int class_index) const { return class_latency[static_cast<std::size_t>(class_index)]; }
   double Expected(const Server& s, int class_index) const { return Usual(class_index) * Slowness(s); }
-  double Failing(const Server& s) const {
-    return s.failing *
-           std::exp(-Ratio(static_cast<double>(now - s.failing_time), static_cast<double>(longest_aim)));
+  // The same where it tells of the moment only.
+  double Fresh(Micros since) const {
+    return std::exp(-Ratio(static_cast<double>(now - since), static_cast<double>(longest_aim)));
   }
+  double Failing(const Server& s) const { return s.failing * Fresh(s.failing_time); }
   void CountOutcome(Server& s, bool failed) {
     s.failing = Failing(s) + kFailureStep * ((failed ? 1 : 0) - Failing(s));
     s.failing_time = now;
@@ -253,9 +254,7 @@
     double& mean = class_latency[static_cast<std::size_t>(class_index)];
     const double sample = static_cast<double>(std::max<Micros>(elapsed, 1));
     const double before = Slowness(s);
-    const double silence =
-        1 - std::exp(-Ratio(static_cast<double>(now - s.slowness_time), static_cast<double>(longest_aim)));
-    const double share = std::max(kSmoothing, kMostShare * silence);
+    const double share = std::max(kSmoothing, kMostShare * (1 - Fresh(s.slowness_time)));
     s.slowness = before + share * (sample / std::max(mean, 1.0) - before);
     s.slowness_time = now;
     mean += kSmoothing * kSmoothing * (sample / before - mean);
@@ -468,7 +467,8 @@
 
   double Warmth(const Server& s) const { return limits::Warmth(settings, s.cold_since, now); }
   // What a warm member finishes for this router, or last did where none is left: servers may be replaced
-  // faster than they get warm. A primary's few writes say little of what another can bear.
+  // faster than they get warm. A primary's few writes say little of what another can bear. They finish less
+  // where they are crowded or fail, and can do no less for it: what was seen fades over a warm-up.
   void LearnWarmRate(Group& g) {
     double sum = 0;
     int count = 0;
@@ -478,7 +478,8 @@
       sum += WorkRate(s);
       ++count;
     }
-    if (count > 0) g.warm_rate = sum / count;
+    const double kept = g.warm_rate * (1 - Ratio(static_cast<double>(check_gap), WorkSpan()));
+    if (count > 0) g.warm_rate = std::max(kept, sum / count);
   }
   bool ColdAllows(Server& s, int class_index) {
     const double warmth = Warmth(s);
@@ -530,10 +531,7 @@
   }
   // An apply rate that nothing has confirmed for a while fades to one: else a replica once seen standing
   // still would get no read, and so show nothing, for ever.
-  double Rate(const Server& s) const {
-    const double age = Ratio(static_cast<double>(now - s.rate_time), static_cast<double>(longest_aim));
-    return std::max(kLeastRate, 1 + (s.rate - 1) * std::exp(-age));
-  }
+  double Rate(const Server& s) const { return std::max(kLeastRate, 1 + (s.rate - 1) * Fresh(s.rate_time)); }
   // Nothing has shown its position, and it checks by itself: a read may go there as its own probe.
   bool Unshown(const Server& s) const { return s.position == kUnknown && settings.guards != Guards::kOff; }
   // What is left of it: a position shown a while ago has moved on since, as far as its rate tells.
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -731,6 +731,35 @@
   EXPECT_LE(sends, 30);
 }
 
+// Guards against cold servers that are starved because the only warm one left fails or is crowded: what warm
+// ones finished before the others left is what they can do.
+TEST(Warmth, AFailingServerThatIsLeftSaysNothingOfWhatColdOnesCanDo) {
+  Scene s;
+  RequestId id = 0;
+  std::map<ServerId, int> sent;
+  const auto serve = [&](Micros span) {
+    sent.clear();
+    for (const Micros end = s.now() + span; s.now() < end; s.Pass(20 * kMs)) {
+      ++id;
+      auto to = SentTo(s.Arrive(id, kAnyRead), id);
+      while (to) {
+        ++sent[*to];
+        const Status status = *to == 3 ? Status::kError : Status::kOk;
+        to = SentTo(s.End(id, *to, status, Role::kReplica, s.now_ms()), id);
+      }
+    }
+  };
+  serve(5 * kSecond);
+  ASSERT_GT(sent[2], 200);
+  ListEntry leaves = Ready(2), joins = Ready(4);
+  leaves.state = ServerState::kDraining;
+  joins.boot_time = s.now();
+  s.List(ListKind::kDelta, {leaves, joins});
+  serve(kSecond);
+  EXPECT_GE(sent[4], 4);
+  EXPECT_LE(sent[4], 15);  // what makes it fall is 20
+}
+
 // Guards against memory that grows with every server that ever was: what is gone for long leaves no trace, so
 // that one that comes back under its id has to show its position anew. Nor is it asked for ever how it is.
 TEST(List, WhatHasLeftForLongIsForgotten) {
