Open a silent watch anew in time, take indented lists, and hear no timer that was set anew

Now the words of the body are whole values of JSON, or empty lines outside of any. - ArmSilence ran for each read, so that bytes which end no word kept a broken watch young for ever. Now only a word that can be used does. - A watch that was never answered, or half, was waited for 5 s, and tries grew up to 1.6 s apart, while what the agent holds counts as told at once. Where lists are pushed an answer is now awaited for half of the drain's grace, 1 s at most, and a try comes an eighth of it later, 0.1 s at most, without growing. Silence is two beats and a quarter of one, so that two watches fit into the 6 s. - An expired timer's handler is queued with no error, whatever is done to the timer in the same turn: a `Redirect` beside a due retry opened two watches. `Alarm` rules that out for all who use it. The old expectation that an agent's tries grow apart stood for the fault; it is replaced by one for the grace.

--- a/src/limits/list_pace.cpp
+++ b/src/limits/list_pace.cpp
@@ -12,19 +12,32 @@
 // times that.
 constexpr Micros kGap = 50'000;
 constexpr Micros kLongest = 2;
+// Parts of a drain's grace that an agent's silence may take, and what a try needs at least and is given at
+// most.
+constexpr Micros kGapParts = 8, kLeastGap = 10'000;
+constexpr Micros kAnswerParts = 2, kLeastAnswer = 100'000, kMostAnswer = 1'000'000;
 
 }  // namespace
 
 ListPace::ListPace(const Settings& settings, std::uint64_t seed) : random_(seed) {
-  if (!settings.ask_for_list) return;
+  first_ = kFirstRetry;
+  if (!settings.ask_for_list) {
+    if (settings.drain_grace > 0)
+      first_ = std::clamp(settings.drain_grace / kGapParts, kLeastGap, kFirstRetry);
+    answered_within_ = settings.drain_grace > 0
+                           ? std::clamp(settings.drain_grace / kAnswerParts, kLeastAnswer, kMostAnswer)
+                           : kMostAnswer;
+    return;
+  }
+  most_doublings_ = kMostDoublings;
   most_ = kLongest * std::max<Micros>(settings.ask_within, 0);
   spread_ = std::min(kGap * std::max(settings.gateways, 1), most_);
 }
 
 Micros ListPace::AfterFailure() {
-  const int doublings = std::min(failures_++, kMostDoublings);
+  const int doublings = std::min(failures_++, most_doublings_);
   const Micros spread = std::min(spread_ << doublings, most_);
-  return (kFirstRetry << doublings) + std::uniform_int_distribution<Micros>(0, spread)(random_);
+  return (first_ << doublings) + std::uniform_int_distribution<Micros>(0, spread)(random_);
 }
 
 }  // namespace tulipyoke::limits
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -13,11 +13,7 @@
 namespace tulipyoke::net {
 namespace {
 
-// An empty line comes every 2 s; after two of them are missing the watch is taken for dead.
-constexpr auto kSilence = std::chrono::milliseconds(5000);
-// The agent runs on this machine: a connection that is not up by then never comes up.
-constexpr auto kConnectWait = std::chrono::milliseconds(1000);
-constexpr std::size_t kLongestLine = std::size_t{4} << 20;
+constexpr std::size_t kLongestValue = std::size_t{4} << 20;
 constexpr std::size_t kReadSize = 16384;
 
 }  // namespace
@@ -31,7 +27,10 @@
   callbacks_.on_message_complete = &OnEnd;
 }
 
-int WatchParser::OnHeaders(http_parser* parser) { return parser->status_code == 200 ? 0 : -1; }
+int WatchParser::OnHeaders(http_parser* parser) {
+  static_cast<WatchParser*>(parser->data)->begun_ = parser->status_code == 200;
+  return parser->status_code == 200 ? 0 : -1;
+}
 
 int WatchParser::OnEnd(http_parser* parser) {
   static_cast<WatchParser*>(parser->data)->ended_ = true;
@@ -40,20 +39,47 @@
 
 int WatchParser::OnBody(http_parser* parser, const char* at, std::size_t size) {
   auto& self = *static_cast<WatchParser*>(parser->data);
-  std::string_view rest(at, size);
-  for (std::size_t end = rest.find('\n'); end != std::string_view::npos; end = rest.find('\n')) {
-    self.line_ += rest.substr(0, end);
-    rest.remove_prefix(end + 1);
-    self.lines_->push_back(std::exchange(self.line_, {}));
+  for (const char c : std::string_view(at, size)) self.Take(c);
+  return self.value_.size() > kLongestValue ? -1 : 0;
+}
+
+void WatchParser::Take(char c) {
+  const bool line_ends = c == '\n', opens = c == '{' || c == '[';
+  if (value_.empty()) {
+    if (line_ends && std::exchange(blank_line_, true)) words_->emplace_back();
+    if (c == ' ' || c == '\t' || c == '\r' || line_ends) return;
+    blank_line_ = false;
+    depth_ = opens ? 1 : 0;
+    value_ = c;
+    return;
   }
-  self.line_ += rest;
-  return self.line_.size() > kLongestLine ? -1 : 0;
+  // What is no value ends with its line; and no string holds the end of a line, so that a value that was cut
+  // off in one is none and takes nothing of the next with it.
+  if (line_ends && (depth_ == 0 || in_string_)) {
+    blank_line_ = true;
+    return EndValue();
+  }
+  value_ += c;
+  if (in_string_) {
+    if (c == '"' && !escaped_) in_string_ = false;
+    escaped_ = c == '\\' && !escaped_;
+  } else if (depth_ > 0) {
+    in_string_ = c == '"';
+    depth_ += opens ? 1 : c == '}' || c == ']' ? -1 : 0;
+    if (depth_ == 0) EndValue();
+  }
+}
+
+void WatchParser::EndValue() {
+  words_->push_back(std::exchange(value_, {}));
+  depth_ = 0;
+  in_string_ = escaped_ = false;
 }
 
-bool WatchParser::Feed(std::string_view bytes, std::vector<std::string>& lines) {
-  lines_ = &lines;
+bool WatchParser::Feed(std::string_view bytes, std::vector<std::string>& words) {
+  words_ = &words;
   const std::size_t taken = http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
-  lines_ = nullptr;
+  words_ = nullptr;
   return taken == bytes.size() && HTTP_PARSER_ERRNO(&parser_) == HPE_OK && !ended_;
 }
 
@@ -84,14 +110,11 @@
   ++counters_.connects;
   const auto session = std::make_shared<Session>(io_);
   session_ = session;
-  silence_.expires_after(kConnectWait);
-  silence_.async_wait([this, session](std::error_code error) {
-    if (!error) Lost(session, "no connection in time");
-  });
+  silence_.In(std::chrono::microseconds(pace_.AnsweredWithin()),
+              [this, session] { Lost(session, "no answer in time"); });
   session->socket.async_connect(endpoint_, [this, session](std::error_code error) {
     if (session != session_) return;
     if (error) return Lost(session, error.message());
-    ArmSilence(session);
     session->request = "GET /registry/instances?follow=1&since=" + std::to_string(version_) +
                        " HTTP/1.1\r\nHost: " + host_ + "\r\nAccept: application/json\r\n\r\n";
     asio::async_write(session->socket, asio::buffer(session->request),
@@ -107,21 +130,25 @@
       asio::buffer(session->in), [this, session](std::error_code error, std::size_t size) {
         if (!Followed(session)) return;
         if (error) return Lost(session, error.message());
-        ArmSilence(session);
-        std::vector<std::string> lines;
-        const bool goes_on = session->parser.Feed(std::string_view(session->in.data(), size), lines);
-        for (const std::string& line : lines) Take(session, line);
+        std::vector<std::string> words;
+        const bool waited = !session->parser.begun();
+        const bool goes_on = session->parser.Feed(std::string_view(session->in.data(), size), words);
+        if (waited && session->parser.begun()) ArmSilence(session);
+        for (const std::string& word : words) Take(session, word);
         if (!goes_on) return Lost(session, "the answer ended or was no watch");
         Read(session);
       });
 }
 
-void DiscoveryWatch::Take(const SessionPtr& session, const std::string& line) {
+void DiscoveryWatch::Take(const SessionPtr& session, const std::string& word) {
   const bool current = session == session_;
-  if (current) pace_.Heard();
-  if (line.find_first_not_of(" \t\r") == std::string::npos) return;
   try {
-    const Listing listing = ParseListing(line);
+    if (current && word.empty()) pace_.Heard();
+    // Bytes that make no word say nothing: a watch on which only such come is as good as silent.
+    if (word.empty()) return ArmSilence(session);
+    const Listing listing = ParseListing(word);
+    if (current) pace_.Heard();
+    ArmSilence(session);
     // Versions of two addresses are not comparable: what the former one tells must not be asked of this one.
     if (current) version_ = listing.version;
     if (current) Drop(former_);
@@ -139,14 +166,11 @@
   if (session == former_) return Drop(former_);
   if (session != session_) return;
   Drop(session_);
-  silence_.cancel();
+  silence_.Off();
   ++counters_.lost;
   // Said once an outage: the tries that follow it are counted.
   if (pace_.failures() == 0) LogWarning("discovery_lost", "discovery watch lost: " + why, {{"why", why}});
-  retry_.expires_after(std::chrono::microseconds(pace_.AfterFailure()));
-  retry_.async_wait([this](std::error_code error) {
-    if (!error && !stopped_) Connect();
-  });
+  retry_.In(std::chrono::microseconds(pace_.AfterFailure()), [this] { Connect(); });
 }
 
 void DiscoveryWatch::Drop(SessionPtr& session) {
@@ -157,10 +181,8 @@
 
 void DiscoveryWatch::ArmSilence(const SessionPtr& session) {
   if (session != session_) return;  // the former watch ends with the new one's first word or its own end
-  silence_.expires_after(kSilence);
-  silence_.async_wait([this, session](std::error_code error) {
-    if (!error) Lost(session, "no word in time");
-  });
+  silence_.In(std::chrono::microseconds(limits::ListPace::kSilentAfter),
+              [this, session] { Lost(session, "no word in time"); });
 }
 
 void DiscoveryWatch::Refresh() {
@@ -174,7 +196,7 @@
   host_ = address;
   version_ = 0;
   pace_.Heard();
-  retry_.cancel();
+  retry_.Off();
   // Told twice in a row, before the first new address has said anything: the oldest one still has the list.
   if (!former_)
     former_ = session_;
@@ -185,8 +207,8 @@
 
 void DiscoveryWatch::Stop() {
   stopped_ = true;
-  silence_.cancel();
-  retry_.cancel();
+  silence_.Off();
+  retry_.Off();
   Drop(session_);
   Drop(former_);
 }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -15,29 +15,38 @@
 
 #include "src/exchange/listing.hpp"
 #include "src/limits/list_pace.hpp"
+#include "src/net/alarm.hpp"
 
 namespace tulipyoke::net {
 
-// The body of a watch, as it comes in: lines out, whatever the cuts. No sockets.
+// The body of a watch, as it comes in: its words out, whatever the cuts. A word is a whole value of JSON, be
+// it indented over many lines, or empty: a line with nothing on it, outside of any value. No sockets.
 class WatchParser {
  public:
   WatchParser();
   WatchParser(const WatchParser&) = delete;
   WatchParser& operator=(const WatchParser&) = delete;
 
-  // Appends the whole lines that these bytes end. False: this is no watch (any more).
-  bool Feed(std::string_view bytes, std::vector<std::string>& lines);
+  // Appends the words that these bytes end. False: this is no watch (any more).
+  bool Feed(std::string_view bytes, std::vector<std::string>& words);
+  // Its head has come whole: it has been answered.
+  bool begun() const { return begun_; }
 
  private:
   static int OnBody(http_parser* parser, const char* at, std::size_t size);
   static int OnHeaders(http_parser* parser);
   static int OnEnd(http_parser* parser);
 
+  void Take(char c);
+  void EndValue();
+
   http_parser parser_;
   http_parser_settings callbacks_;
-  std::string line_;
-  std::vector<std::string>* lines_ = nullptr;
-  bool ended_ = false;
+  std::string value_;  // as much as has come of the one under way
+  int depth_ = 0;      // of its brackets; 0 with a value under way: it is none
+  bool in_string_ = false, escaped_ = false, blank_line_ = true;
+  std::vector<std::string>* words_ = nullptr;
+  bool begun_ = false, ended_ = false;
 };
 
 struct DiscoveryCounters {
@@ -66,7 +75,7 @@
 
   void Connect();
   void Read(const SessionPtr& session);
-  void Take(const SessionPtr& session, const std::string& line);
+  void Take(const SessionPtr& session, const std::string& word);
   void Lost(const SessionPtr& session, const std::string& why);
   void ArmSilence(const SessionPtr& session);
   bool Followed(const SessionPtr& session) const { return session == session_ || session == former_; }
@@ -78,7 +87,7 @@
   std::string host_;
   std::uint64_t version_;
   DiscoveryCounters counters_;
-  asio::steady_timer silence_, retry_;
+  Alarm silence_, retry_;
   SessionPtr session_;
   SessionPtr former_;  // the watch on the address before, until the new one has told something
   limits::ListPace pace_;
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -67,13 +67,34 @@
   for (int i = 0; i < 200; ++i) longest = std::max(longest, many.AfterFailure());
   EXPECT_LE(longest, 2 * 10 * kSecond + 1600 * kMs);
   EXPECT_GT(longest, 10 * kSecond);
-  Settings pushed = AskSettings(300);
-  pushed.ask_for_list = false;
-  ListPace agent(pushed, 7);
-  EXPECT_EQ(agent.AfterFailure(), 100 * kMs);
-  EXPECT_EQ(agent.AfterFailure(), 200 * kMs);
-  agent.Heard();
-  EXPECT_EQ(agent.AfterFailure(), 100 * kMs);
+  EXPECT_EQ(many.AnsweredWithin(), ListPace::kSilentAfter);
+  few.Heard();
+  EXPECT_LE(few.AfterFailure(), 300 * kMs);
+}
+
+// Guards against a list that is heard too late: what the agent holds counts as told while no watch is open,
+// and what a silent watch misses counts so 6 s after it fell silent, at whatever moment of the beat that was.
+TEST(ListPace, AnAgentIsAskedAgainInAPartOfTheGraceAndASilentWatchIsOpenedAnewInTime) {
+  for (const Micros grace : {0 * kMs, 50 * kMs, 250 * kMs, 2000 * kMs, 9000 * kMs}) {
+    Settings pushed = AskSettings(300);
+    pushed.ask_for_list = false;
+    pushed.drain_grace = grace;
+    ListPace agent(pushed, 7);
+    const Micros first = agent.AfterFailure();
+    for (int i = 0; i < 20; ++i) EXPECT_EQ(agent.AfterFailure(), first);
+    EXPECT_GE(first, 10 * kMs);
+    EXPECT_LE(first, 100 * kMs);
+    if (grace >= 250 * kMs) {
+      EXPECT_LT(agent.AnsweredWithin() + first, grace);
+    }
+    // The first one that is opened anew may be silent as well.
+    for (Micros silent_for = 0; silent_for <= ListPace::kBeat; silent_for += 100 * kMs) {
+      const Micros fell_silent = silent_for;  // after the last word
+      const Micros again = ListPace::kSilentAfter + first + agent.AnsweredWithin() + first;
+      EXPECT_LT(again - fell_silent, 6000 * kMs);
+    }
+    EXPECT_GT(ListPace::kSilentAfter, 2 * ListPace::kBeat);
+  }
 }
 
 // A client's further try says so by the shorter wait that it has left. Where all clients are impatient alike,
