End what its client has left or its server drains unsent, and tell written bytes as they are

It is closed. - Attempts that waited for a connection went out whenever that came up, also after their server's grace. A draining server now takes no new start, as one that left the list. - A request of a keyed or unsafe class whose client left was sent on when its connection came up, and so was a large statement to its end. What is not sent whole is ended with the request, in one place. - A client that has sent far ahead, or waits for room, is not read: its leaving was never come upon. Exchange.AValueThatNobodyWaitsForIsNotPassedOn let a server answer what was never sent; it now says written.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -121,11 +121,31 @@
   if (requests_.erase(id) == 0) return;
   ++counters_.left;
   Pass(now, RequestGone{id});
+  EndUnsent(now, id);
+}
+
+// Nobody waits for that request any more. What still waits for a connection, or is being written, must not go
+// out later on: a server begins nothing before its last byte, so that it never runs.
+void Exchange::EndUnsent(Micros now, RequestId id) {
+  std::vector<Ticket> unsent;
+  for (auto it = attempts_.lower_bound({id, 0}); it != attempts_.end() && it->first.first == id; ++it) {
+    if (!out_.at(it->second).written) unsent.push_back(it->second);
+  }
+  for (const Ticket ticket : unsent) {
+    const bool carried = std::erase_if(commands_, [&](const Command& command) {
+                           const auto* start = std::get_if<StartAttempt>(&command);
+                           return start && start->ticket == ticket;
+                         }) == 0;
+    if (carried) commands_.push_back(EndTicket{ticket});
+    EndOut(now, ticket, Outcome{.status = Status::kMoot});
+  }
 }
 
 void Exchange::Written(Ticket ticket) {
   const auto it = out_.find(ticket);
-  written_ += it != out_.end() && !it->second.probe ? 1 : 0;
+  if (it == out_.end() || it->second.probe) return;
+  it->second.written = true;
+  ++written_;
 }
 
 Figures Exchange::FiguresAt(Micros now) const {
@@ -371,6 +391,7 @@
   if (std::holds_alternative<Refused>(answer)) ++counters_.refused;
   if (std::holds_alternative<Failed>(answer)) ++counters_.failed;
   commands_.push_back(AnswerRequest{id, std::move(answer)});
+  EndUnsent(now, id);
 }
 
 void Exchange::CountEnd(int class_index, const Answer& answer) {
@@ -422,10 +443,14 @@
     Known& known = found == servers_.end() ? servers_[listed.id] : found->second;
     if (known.server == 0) known.server = next_server_++;
     const ServerId id = known.server;
-    if (!listed.address.empty() && known.address != listed.address) {
-      known.address = listed.address;
-      commands_.push_back(SetAddress{id, listed.address});
-    }
+    const bool takes = listed.state == ServerState::kReady;
+    const bool moved = !listed.address.empty() && known.address != listed.address;
+    if (moved) known.address = listed.address;
+    if (takes && (moved || !known.takes) && !known.address.empty())
+      commands_.push_back(SetAddress{id, known.address});
+    // What waits for a connection there would begin whenever that comes up, however long after this word.
+    if (!takes && known.takes) commands_.push_back(ForgetServer{id});
+    known.takes = takes;
     ListEntry entry;
     entry.server = id;
     entry.group = listed.group;
@@ -436,9 +461,7 @@
     entry.boot_time = listed.started_unix_ms * 1000;
     entry.leads = listed.leads;
     news.entries.push_back(entry);
-    if (listed.state != ServerState::kGone) continue;
-    commands_.push_back(ForgetServer{id});
-    servers_.erase(listed.id);
+    if (listed.state == ServerState::kGone) servers_.erase(listed.id);
   }
   return news;
 }
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -83,7 +83,7 @@
   ServerId server = 0;
   std::string address;
 };
-struct ForgetServer {  // it has left the list: nothing more is started there
+struct ForgetServer {  // it drains or has left the list: nothing more is started there, until SetAddress
   ServerId server = 0;
 };
 struct CloseIdleConnections {
@@ -160,7 +160,7 @@
   void ClientLeft(Micros now, RequestId id);
   // A request that a front turned away by itself; the module never hears of it.
   void CountTurnedAway(int class_index, const Answer& answer) { CountEnd(class_index, answer); }
-  // The attempt's last byte has been written to its server; probes are passed over.
+  // The attempt's last byte has been taken by its server's socket; probes are passed over.
   void Written(Ticket ticket);
   // A ticket that is no longer out is passed over.
   void Finished(Micros now, Ticket ticket, Outcome outcome);
@@ -205,6 +205,7 @@
     ServerId server = 0;
     Micros sent = 0;
     std::uint64_t key = 0;
+    bool written = false;  // its last byte is out
   };
   struct Running {      // a value that is being passed on
     Ticket ticket = 0;  // 0: its server is through
@@ -227,6 +228,7 @@
   void Schedule(Micros when, DueKind kind, std::uint64_t id);
   void EndOut(Micros now, Ticket ticket, Outcome outcome);
   void EndTransfer(Micros now, RequestId id, Outcome outcome);
+  void EndUnsent(Micros now, RequestId id);
   void Give(Micros now, RequestId id, Answer answer);
   void CountEnd(int class_index, const Answer& answer);
   // `text` is a function, so that nothing is put together where no trace is wanted.
@@ -274,6 +276,7 @@
   struct Known {
     ServerId server = 0;
     std::string address;
+    bool takes = false;          // the servers' side may start something there
     Role told = Role::kUnknown;  // the role that the other processes were told last
   };
   std::map<std::string, Known> servers_;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -1,6 +1,7 @@
 #include "src/net/front.hpp"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -157,7 +158,7 @@
 void ClientFront::PauseAccepting() {
   accepting_ = false;
   std::error_code ignored;
-  accept_pause_.cancel();
+  accept_pause_.Off();
   acceptor_.cancel(ignored);
 }
 
@@ -179,10 +180,7 @@
     if (!gone_already && !ShedIdle()) {
       LogWarning("accept_failed", "cannot accept a client: " + error.message(), {{"why", error.message()}});
     }
-    accept_pause_.expires_after(kAcceptPause);
-    accept_pause_.async_wait([this](std::error_code failed) {
-      if (!failed) Accept();
-    });
+    accept_pause_.In(kAcceptPause, [this] { Accept(); });
   });
 }
 
@@ -418,6 +416,8 @@
     pg::AppendError(client->out, "ERROR", "53300", "too much is under way", RetryWhenCrowded(class_index));
     return pg::AppendReady(client->out);
   }
+  // It may have come long ago, behind an answer or for want of room, and its client has gone since.
+  if (HasLeft(*client)) return Close(client);
   const Freshness freshness = exchange_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
   client->open_id = statement->id;
   open_ids_.insert(client->open_id);
@@ -439,6 +439,11 @@
   asking_[client->request] = client;
 }
 
+bool ClientFront::HasLeft(Client& client) {
+  pollfd look{client.socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 // When a client may come back that was refused for want of room: as the module has it, so that the crowd does
 // not come back at once.
 std::string ClientFront::RetryWhenCrowded(int class_index) const {
@@ -676,7 +681,7 @@
     Admit(std::move(socket));
   }
   std::error_code ignored;
-  accept_pause_.cancel();
+  accept_pause_.Off();
   acceptor_.close(ignored);
 }
 
@@ -700,6 +705,11 @@
       Close(client);
       continue;
     }
+    // Nothing is read of one that has sent far ahead or waits for room, so that its end is not come upon.
+    if (!client->ending && !client->reading && HasLeft(*client)) {
+      Close(client);
+      continue;
+    }
     if (client->ending || client->request != 0 || client->queued || client->writing) continue;
     // One that has only just connected is about to ask.
     const bool new_here = !client->asked && now - client->connected <= kTimeToAsk;
@@ -744,7 +754,7 @@
 void ClientFront::Stop() {
   std::error_code ignored;
   acceptor_.close(ignored);
-  accept_pause_.cancel();
+  accept_pause_.Off();
   sweep_.cancel();
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) Close(client);
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -14,6 +14,7 @@
 #include <unordered_set>
 
 #include "src/exchange/exchange.hpp"
+#include "src/net/alarm.hpp"
 #include "src/net/clock.hpp"
 #include "src/net/service.hpp"
 #include "src/net/statement_budget.hpp"
@@ -85,6 +86,8 @@
   void OnStartup(const ClientPtr& client, std::string_view body);
   void OnMessage(const ClientPtr& client, char type, std::string_view body);
   void OnQuery(const ClientPtr& client, std::string_view text);
+  // Its machine has said by now that it sends no more, whatever is still unread before that.
+  static bool HasLeft(Client& client);
   std::string RetryWhenCrowded(int class_index) const;
   const char* WhyNot(const pg::Statement* statement, const ClassNames::const_iterator& found) const;
   void EndRequest(const ClientPtr& client);
@@ -109,7 +112,8 @@
   FrontOptions options_;
   FrontCounters counters_;
   asio::ip::tcp::acceptor acceptor_;
-  asio::steady_timer accept_pause_, sweep_;
+  Alarm accept_pause_;
+  asio::steady_timer sweep_;
   std::unordered_set<ClientPtr> clients_;
   std::unordered_map<RequestId, ClientPtr> asking_;
   std::unordered_set<std::string> open_ids_;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -146,9 +146,8 @@
   Take(kShareBeside);
   exchange_.TellOthers(true);
   exchange_.SessionsAre(clock_.Now(), {.known = false});
-  serve_timer_.expires_after(kSyncWait);
-  serve_timer_.async_wait([this](std::error_code error) {
-    if (error || service_.state() != Service::State::kStarting) return;
+  serve_timer_.In(kSyncWait, [this] {
+    if (service_.state() != Service::State::kStarting) return;
     handover_.Part(Handover::Partner::kOlder);
     Serve();
   });
@@ -156,7 +155,7 @@
 
 void Node::Serve() {
   if (service_.state() != Service::State::kStarting) return;
-  serve_timer_.cancel();
+  serve_timer_.Off();
   service_.Start();
   front_.StartAccepting();
   handover_.Step(Handover::Partner::kOlder, HandoverStep::kServing);
@@ -236,10 +235,7 @@
   pool_.Resize(exchange_.live() + kServersSpare);
   const auto held = static_cast<int>(front_.clients() + pool_.connections()) + kOwnDescriptors;
   if (held < told_holds_) handover_.TellNewer(HandoverHolds{told_holds_ = held});
-  shrink_timer_.expires_after(kShrinkEvery);
-  shrink_timer_.async_wait([this](std::error_code error) {
-    if (!error) Shrink();
-  });
+  shrink_timer_.In(kShrinkEvery, [this] { Shrink(); });
 }
 
 // What a partner answered its clients without a word here may be read by nobody too early: until all of it
@@ -253,10 +249,8 @@
   }
   if (!done) {
     exchange_.SessionsAre(clock_.Now(), {.known = false});
-    sessions_timer_.expires_after(std::chrono::microseconds(LongestDeadline(config_.settings)));
-    sessions_timer_.async_wait([this](std::error_code error) {
-      if (!error) exchange_.SessionsAre(clock_.Now(), {.known = true, .lost = true});
-    });
+    sessions_timer_.In(std::chrono::microseconds(LongestDeadline(config_.settings)),
+                       [this] { exchange_.SessionsAre(clock_.Now(), {.known = true, .lost = true}); });
   }
   if (partner == Handover::Partner::kOlder) return Serve();
   if (service_.state() != Service::State::kHandedOver) return;
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -10,6 +10,7 @@
 
 #include "src/config/config.hpp"
 #include "src/exchange/exchange.hpp"
+#include "src/net/alarm.hpp"
 #include "src/net/clock.hpp"
 #include "src/net/directory.hpp"
 #include "src/net/discovery.hpp"
@@ -72,7 +73,8 @@
   DiscoveryWatch discovery_;
   std::optional<OperatorDoor> door_;
   Handover handover_;
-  asio::steady_timer due_timer_, stop_timer_, serve_timer_, sessions_timer_, shrink_timer_;
+  asio::steady_timer due_timer_, stop_timer_;
+  Alarm serve_timer_, sessions_timer_, shrink_timer_;
   std::optional<Micros> armed_for_;
   int told_holds_ = 0;
   std::optional<Micros> stop_asked_;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -7,6 +7,7 @@
 
 #include "src/log/log.hpp"
 #include "src/net/address.hpp"
+#include "src/net/alarm.hpp"
 #include "src/pg/answer.hpp"
 #include "src/pg/wire.hpp"
 
@@ -16,7 +17,8 @@
 constexpr std::string_view kUser = "api";
 constexpr std::string_view kDatabase = "ledger";
 constexpr std::string_view kProbeQuery = "SHOW pressure";
-// A connection is retired well before the server closes it: a query that crosses its close ends as a reset.
+// A connection is used no more well before the server closes it: a query that crosses its close ends as a
+// reset.
 constexpr double kIdleShare = 0.6;
 constexpr auto kSweepEvery = std::chrono::milliseconds(500);
 // A server may send more than was asked for right behind an answer. A connection rests for so long before the
@@ -39,10 +41,10 @@
   enum class State { kOpening, kResting, kIdle, kBusy, kClosed };
 
   Connection(asio::io_context& io, ServerId id, const asio::ip::tcp::endpoint& at)
-      : socket(io), timer(io), server(id), address(at), reader(pg::MessageReader::ForAnswers()) {}
+      : socket(io), alarm(io), server(id), address(at), reader(pg::MessageReader::ForAnswers()) {}
 
   asio::ip::tcp::socket socket;
-  asio::steady_timer timer;
+  Alarm alarm;
   ServerId server;
   asio::ip::tcp::endpoint address;
   State state = State::kOpening;
@@ -50,7 +52,6 @@
   pg::MessageReader reader;
   pg::AnswerReader answer;
   Ticket ticket = 0;
-  bool written = false;
   // A value that is passed on as it comes: how much of it is still to come, and whether its client has to
   // catch up first.
   std::shared_ptr<Transfer> transfer;
@@ -58,8 +59,11 @@
   bool paused = false;
   Micros last_bytes = 0;
   std::string out, wait;
-  std::shared_ptr<const Payload> payload;  // while it is being written
+  std::shared_ptr<const Payload> payload;      // while it is being written
+  std::array<asio::const_buffer, 5> unsent{};  // what the socket has not taken yet
   std::array<char, kReadSize> in{};
+
+  bool written() const { return asio::buffer_size(unsent) == 0; }
 };
 
 ServerPool::ServerPool(asio::io_context& io, LoopClock& clock, Exchange& exchange, const PoolOptions& options)
@@ -83,10 +87,9 @@
   }
   while (!site.idle.empty()) {
     const Link link = site.idle.back();
-    // Bytes that nothing called for: not one query more.
-    std::error_code error;
-    if (link->socket.available(error) > 0 || error) {
-      ++counters_.stray;
+    const bool old = link->idle_since < OldestIdle();
+    if (old || !Quiet(*link)) {
+      ++(old ? counters_.retired : counters_.stray);
       Close(link);
       continue;
     }
@@ -121,21 +124,19 @@
   site.opening.push_back(link);
   ++connections_;
   ++counters_.opened;
-  link->timer.expires_at(clock_.ToSteady(clock_.Now() + options_.connect_timeout));
-  link->timer.async_wait([this, link](std::error_code error) {
-    if (!error && link->state == Connection::State::kOpening) OpenFailed(link, Status::kConnectFailed);
-  });
+  link->alarm.At(clock_.ToSteady(clock_.Now() + options_.connect_timeout),
+                 [this, weak = std::weak_ptr(link)] {
+                   if (const Link late = weak.lock()) OpenFailed(late, Status::kConnectFailed);
+                 });
   link->socket.async_connect(link->address, [this, link](std::error_code error) {
     if (link->state != Connection::State::kOpening) return;
+    if (!error) link->socket.non_blocking(true, error);
     if (error) return OpenFailed(link, Status::kConnectFailed);
     link->socket.set_option(asio::ip::tcp::no_delay(true), error);
     pg::AppendStartup(link->out, kUser, kDatabase);
-    asio::async_write(link->socket, asio::buffer(link->out),
-                      [this, link](std::error_code failed, std::size_t) {
-                        if (failed && link->state == Connection::State::kOpening)
-                          OpenFailed(link, Status::kConnectFailed);
-                      });
-    Read(link);
+    link->unsent = {asio::buffer(link->out)};
+    Write(link);
+    if (link->state != Connection::State::kClosed) Read(link);
   });
 }
 
@@ -215,12 +216,12 @@
   busy_.erase(ticket);
   link->state = Connection::State::kResting;
   ++sites_[link->server].resting;
-  if (link->reader.buffered() > 0) {
+  // Answered before all of it was sent: the next query's bytes would come behind the rest of this one's.
+  if (link->reader.buffered() > 0 || !link->written()) {
     Retire(link);
   } else {
-    link->timer.expires_at(clock_.ToSteady(clock_.Now() + kRest));
-    link->timer.async_wait([this, link](std::error_code error) {
-      if (!error && link->state == Connection::State::kResting) OnReady(link);
+    link->alarm.At(clock_.ToSteady(clock_.Now() + kRest), [this, weak = std::weak_ptr(link)] {
+      if (const Link rested = weak.lock()) OnReady(rested);
     });
   }
   exchange_.Finished(clock_.Now(), ticket, std::move(outcome));
@@ -253,7 +254,7 @@
     case 'E':
       return OpenFailed(link, pg::ParseError(body).code == "53300" ? Status::kFull : Status::kConnectFailed);
     case 'Z':
-      link->timer.cancel();
+      link->alarm.Off();
       return OnReady(link);
     case 'S':
     case 'K':
@@ -267,8 +268,7 @@
 void ServerPool::OnReady(const Link& link) {
   Site& site = sites_[link->server];
   if (link->address != site.endpoint) return Drop(link);  // the server has moved
-  std::error_code error;
-  if (link->reader.buffered() > 0 || link->socket.available(error) > 0 || error) return Retire(link);
+  if (link->reader.buffered() > 0 || !link->written() || !Quiet(*link)) return Retire(link);
   if (link->state == Connection::State::kOpening) Remove(site.opening, link);
   if (link->state == Connection::State::kResting) --site.resting;
   link->state = Connection::State::kIdle;
@@ -279,10 +279,18 @@
     return Run(link, std::move(job));
   }
   link->idle_since = clock_.Now();
-  if (link->written && link->out.capacity() > kReadSize) link->out = {};
   site.idle.push_back(link);
 }
 
+// Bytes that nothing called for, or its end: not one query more. That the end has come shows in no count of
+// waiting bytes, and the loop may not have been told of it yet.
+bool ServerPool::Quiet(Connection& link) {
+  char byte = 0;
+  std::error_code error;
+  link.socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
 void ServerPool::Run(const Link& link, Job job) {
   // Its connection took too long: sent now, it could take effect a second time.
   if (job.start_by < clock_.Now()) {
@@ -295,7 +303,6 @@
   link->answer = pg::AnswerReader(job.payload ? Query::kStatement : Query::kProbe);
   link->transfer.reset();
   link->value_left = 0;
-  link->written = false;
   busy_[job.ticket] = link;
   // The client's bytes go out from where they are held, but for the wait.
   static const Payload probe{std::string(kProbeQuery), kProbeQuery.size(), 0};
@@ -306,17 +313,32 @@
   const std::string_view before = payload.Before(), behind = payload.Behind();
   link->out.clear();
   pg::AppendHead(link->out, 'Q', before.size() + link->wait.size() + behind.size() + 1);
-  const std::array<asio::const_buffer, 5> parts = {asio::buffer(link->out), asio::buffer(before),
-                                                   asio::buffer(link->wait), asio::buffer(behind),
-                                                   asio::buffer("", 1)};
-  const Ticket ticket = job.ticket;
-  asio::async_write(link->socket, parts, [this, link, ticket](std::error_code error, std::size_t) {
-    if (!error) exchange_.Written(ticket);
-    if (link->ticket == ticket) link->payload.reset();
-    if (link->state != Connection::State::kBusy || link->ticket != ticket) return;
-    if (error) return OnBroken(link);
-    link->written = true;
-  });
+  link->unsent = {asio::buffer(link->out), asio::buffer(before), asio::buffer(link->wait),
+                  asio::buffer(behind), asio::buffer("", 1)};
+  Write(link);
+}
+
+// At once, as far as the socket takes it. So `unsent` is true at every moment: a handler that told later what
+// the socket took could come behind that of the connection's end, and an attempt whose last byte is out would
+// be taken for one that never was.
+void ServerPool::Write(const Link& link) {
+  std::error_code error;
+  while (!link->written() && !error) {
+    std::size_t taken = link->socket.write_some(link->unsent, error);
+    for (asio::const_buffer& part : link->unsent) {
+      const std::size_t of_this = std::min(taken, part.size());
+      part += of_this;
+      taken -= of_this;
+    }
+  }
+  if (error == asio::error::would_block) {
+    return link->socket.async_wait(asio::socket_base::wait_write, [this, link](std::error_code failed) {
+      if (!failed && link->state != Connection::State::kClosed) Write(link);
+    });
+  }
+  if (error) return OnBroken(link);
+  link->payload.reset();
+  if (link->state == Connection::State::kBusy) exchange_.Written(link->ticket);
 }
 
 void ServerPool::OnBroken(const Link& link) {
@@ -324,7 +346,7 @@
   const bool busy = link->state == Connection::State::kBusy;
   const Ticket ticket = link->ticket;
   std::optional<Outcome> outcome = busy ? link->answer.Settled() : std::nullopt;
-  if (!outcome) outcome = Outcome{.status = link->written ? Status::kReset : Status::kConnectFailed};
+  if (!outcome) outcome = Outcome{.status = link->written() ? Status::kReset : Status::kConnectFailed};
   if (busy) ++counters_.broken;
   Drop(link);
   if (busy) exchange_.Finished(clock_.Now(), ticket, std::move(*outcome));
@@ -352,7 +374,7 @@
   if (link->state == Connection::State::kBusy) busy_.erase(link->ticket);
   link->state = Connection::State::kClosed;
   link->transfer.reset();
-  link->timer.cancel();
+  link->alarm.Off();
   std::error_code ignored;
   link->socket.close(ignored);
   --connections_;
@@ -433,11 +455,13 @@
   });
 }
 
+Micros ServerPool::OldestIdle() {
+  return clock_.Now() - static_cast<Micros>(kIdleShare * static_cast<double>(options_.idle_close));
+}
+
 void ServerPool::Sweep() {
-  const Micros oldest =
-      clock_.Now() - static_cast<Micros>(kIdleShare * static_cast<double>(options_.idle_close));
   for (auto& [server, site] : sites_) {
-    while (!site.idle.empty() && site.idle.front()->idle_since <= oldest) {
+    while (!site.idle.empty() && site.idle.front()->idle_since <= OldestIdle()) {
       ++counters_.retired;
       Close(Link(site.idle.front()));
     }
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -83,10 +83,15 @@
   void Drop(const Link& link);
   void OnReady(const Link& link);
   void Run(const Link& link, Job job);
+  void Write(const Link& link);
   void OnBroken(const Link& link);
   void OpenFailed(const Link& link, Status status);
   void Close(const Link& link);
   void FailWaiting(Site& site);
+  // Whether its machine has said nothing by now, the end included.
+  static bool Quiet(Connection& link);
+  // Idle since then or longer: its machine may close it any moment.
+  Micros OldestIdle();
   void Sweep();
   void ArmSweep();
 
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -308,12 +308,40 @@
 TEST(Exchange, AValueThatNobodyWaitsForIsNotPassedOn) {
   Bench b;
   const RequestId id = b.Ask(kKeyedWrite);
+  b.exchange.Written(b.attempts[0].ticket);  // else it would have been ended, and no server answers it
   b.exchange.ClientLeft(b.now, id);
   EXPECT_FALSE(b.exchange.Begin(b.now, b.attempts[0].ticket, "shape", 100'000));
   EXPECT_EQ(b.exchange.Sessions().size(), 1u);
   EXPECT_FALSE(b.exchange.Begin(b.now, b.attempts[0].ticket, "shape", 100'000));  // it is over
 }
 
+// Guards against a request that is sent on after its client has gone: held for a primary, for a connection,
+// or in its last words to a server.
+TEST(Exchange, WhatHasNotBeenSentWholeIsNotSentOnAfterItsClientHasLeft) {
+  Bench b;
+  for (const ServerId gone : {1, 2, 3}) {
+    ListedServer drains = Bench::Listed(gone == 1 ? "p" : gone == 2 ? "q" : "r");
+    drains.state = ServerState::kDraining;
+    b.exchange.Heard(b.now, Listing{8, false, {drains}});
+  }
+  b.Collect();
+  const RequestId held = b.Ask(kKeyedWrite);
+  EXPECT_TRUE(b.attempts.empty());
+  b.exchange.ClientLeft(b.now, held);
+  b.exchange.Heard(b.now, Listing{9, true, {Bench::Listed("p"), Bench::Listed("q"), Bench::Listed("r")}});
+  b.Pass(100 * kMs);
+  EXPECT_TRUE(b.attempts.empty());
+  const RequestId waits = b.Ask(kKeyedWrite);
+  ASSERT_EQ(b.attempts.size(), 1u);
+  b.ended.clear();
+  b.exchange.ClientLeft(b.now, waits);
+  b.Collect();
+  EXPECT_EQ(b.ended, (std::vector<Ticket>{b.attempts[0].ticket}));
+  EXPECT_EQ(b.exchange.counters().outcomes[static_cast<std::size_t>(Status::kMoot)], 1u);
+  b.Pass(kSecond);
+  EXPECT_EQ(b.attempts.size(), 1u);
+}
+
 // Guards against a fast server filling the memory for a slow client.
 TEST(Transfer, HoldsLittleAndSaysWhenThereIsRoom) {
   Transfer transfer("shape", 1 << 20);
