--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -685,6 +685,15 @@
   acceptor_.close(ignored);
 }
 
+// What is still on its way is refused before it is whole: where the process only ended, the last byte of a
+// statement could cross that, and its client would have no answer.
+void ClientFront::Dismiss() {
+  const std::unordered_set<ClientPtr> clients = clients_;
+  for (const ClientPtr& client : clients) {
+    if (client->request == 0) EndWith(client, "57P03", "out of service: trying again is harmless");
+  }
+}
+
 void ClientFront::ArmSweep() {
   sweep_.expires_after(kSweepEvery);
   sweep_.async_wait([this](std::error_code error) {
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -59,6 +59,8 @@
   // Takes in what has connected already and accepts nothing more.
   void StopAccepting();
   void Resize(const FrontLimits& limits);
+  // The last word to all whose request has not come whole: from here on none can be served any more.
+  void Dismiss();
   bool Owes(Micros patience) const;
   void Stop();
   // Closes an idle client, if there is one that has been idle for so long.
