Carry out what a handler ended before the next handler of the same turn can begin it

Seen: Leaving.AllAtOnce failed about one time in six under load: of 60 clients that left at once, one's request was sent. Commands were carried out at the end of the turn (node.cpp Run), up to 64 handlers later: the client's leaving had ended its attempt, but the connection that came up in the same turn still found it waiting in the pool and began it. Commands are now carried out behind each handler; the time is still read once a turn and timers run at its end.

--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -188,8 +188,8 @@
     clock_.NewTurn();
     ++turns_;
     if (io_.run_one() == 0) break;
-    for (int handled = 1; handled < kHandlersATurn && io_.poll_one() > 0; ++handled) {
-    }
+    CarryOut();
+    for (int handled = 1; handled < kHandlersATurn && io_.poll_one() > 0; ++handled) CarryOut();
     EndTurn();
   }
   PrintCounters();
@@ -264,12 +264,17 @@
   pool_.Resize(budget.servers);
 }
 
-void Node::EndTurn() {
-  exchange_.Tick(clock_.Now());
+// Behind each handler: what one of them ended, the next one of the same turn must not begin.
+void Node::CarryOut() {
   for (std::vector<Command> commands = exchange_.TakeCommands(); !commands.empty();
        commands = exchange_.TakeCommands()) {
     for (const Command& command : commands) Carry(command);
   }
+}
+
+void Node::EndTurn() {
+  exchange_.Tick(clock_.Now());
+  CarryOut();
   const std::optional<Micros> due = exchange_.NextDue();
   if (due && due != armed_for_) {
     armed_for_ = due;
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -40,6 +40,7 @@
   std::uint64_t turns() const { return turns_; }
 
  private:
+  void CarryOut();
   void EndTurn();
   void Carry(const Command& command);
   std::unique_ptr<Directory> MakeDirectory();
