Say that an attempt still waiting for its connection at its time-out never ran

Seen by reading: Exchange::Tick ended each attempt that had run out of time as kTimeout, also one whose connection had not come up or whose statement was not out whole (exchange.cpp, the kTicket branch). The module then took a write that may not be repeated for one that may have run, answered 'failed' where trying again is harmless, and held the silence against the server and its group's crowding. Now it is kConnectFailed, as where the connection breaks before the last byte; the pool's Written tells the two apart. Exchange.ASilentServerEndsInATimeOut... never said that its attempt had been written, which a silent server's is; it says so now and expects the same time-out.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -238,7 +238,10 @@
     } else if (due.kind == DueKind::kTicket) {
       if (!out_.contains(due.id)) continue;
       commands_.push_back(EndTicket{due.id});
-      EndOut(now, due.id, Outcome{.status = Status::kTimeout});
+      // What is still waiting for its connection, or has not gone out whole, has not run and never will.
+      const Out& late = out_.at(due.id);
+      const bool may_run = late.probe || late.written;
+      EndOut(now, due.id, Outcome{.status = may_run ? Status::kTimeout : Status::kConnectFailed});
     } else if (requests_.contains(due.id)) {
       counters_.overdue += now > requests_.at(due.id).deadline ? 1 : 0;
       Give(now, due.id, Failed{});
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -89,6 +89,7 @@
   Bench b;
   const RequestId id = b.Ask(kAnyRead, 300 * kMs);
   ASSERT_EQ(b.attempts.size(), 1u);
+  b.exchange.Written(b.attempts[0].ticket);  // else it could not have run, and would be no time-out
   b.Pass(310 * kMs);
   EXPECT_EQ(b.answers[id].size(), 1u);
   ASSERT_FALSE(b.ended.empty());
@@ -342,6 +343,43 @@
   EXPECT_EQ(b.attempts.size(), 1u);
 }
 
+// Guards against an end that is counted twice, or not at all, where the answer and the client's leaving come
+// in one turn, in either order.
+TEST(Exchange, AnAnswerAndItsClientsLeavingInOneTurnEndItOnce) {
+  for (const bool answer_first : {true, false}) {
+    Bench b;
+    const RequestId id = b.Ask(kKeyedWrite);
+    const Ticket ticket = b.attempts[0].ticket;
+    b.exchange.Written(ticket);
+    if (!answer_first) b.exchange.ClientLeft(b.now, id);
+    b.exchange.Finished(b.now, ticket, {.role = Role::kPrimary});
+    if (answer_first) b.exchange.ClientLeft(b.now, id);
+    b.Collect();
+    EXPECT_EQ(b.answers[id].size(), answer_first ? 1u : 0u);
+    EXPECT_EQ(b.exchange.counters().served, answer_first ? 1u : 0u);
+    EXPECT_EQ(b.exchange.counters().left, answer_first ? 0u : 1u);
+    EXPECT_EQ(b.exchange.Sessions().size(), 1u);  // the commit is known in both
+    b.Pass(2 * kSecond);
+    EXPECT_EQ(b.attempts.size(), 1u);
+  }
+}
+
+// Guards against an attempt that is said to have run, perhaps, though its last byte never went out, and the
+// other way round.
+TEST(Exchange, OnlyWhatWasSentWholeMayHaveRunAtItsTimeOut) {
+  for (const bool written : {true, false}) {
+    Bench b;
+    const RequestId id = b.Ask(kUnsafeWrite);
+    ASSERT_EQ(b.attempts.size(), 1u);
+    if (written) b.exchange.Written(b.attempts[0].ticket);
+    b.Pass(2 * kSecond);
+    ASSERT_EQ(b.answers[id].size(), 1u);
+    EXPECT_EQ(std::holds_alternative<Failed>(b.answers[id][0]), written);
+    EXPECT_EQ(b.ended[0], b.attempts[0].ticket);
+    EXPECT_EQ(b.attempts.size(), 1u);
+  }
+}
+
 // Guards against a fast server filling the memory for a slow client.
 TEST(Transfer, HoldsLittleAndSaysWhenThereIsRoom) {
   Transfer transfer("shape", 1 << 20);
