Ask for the whole list behind a word of the watch that cannot be used

Seen by reading, and open in the roadmap: DiscoveryWatch::Take counted such a word and went on; what it told, a server that drains perhaps, was missed until the next whole list, while it counts as told. The watch is now lost at that moment and opened anew from its whole list, at the pace of all tries, unless a whole list lies behind the word. Shown: WatchTest.AWordThatCannotBeUsedIsMadeUpForByTheWholeList fails with 'session->missed = true' taken out. With nothing to mend: a silent new address after SIGHUP while the former one is followed and then falls away, and an address named while discovery is down; each fails with its guard (AnsweredWithin, former_, version_ = 0) taken out.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -89,6 +89,7 @@
   asio::ip::tcp::socket socket;
   WatchParser parser;
   std::string request;
+  bool missed = false;  // a word could not be used, and no whole list has come since
   std::array<char, kReadSize> in{};
 };
 
@@ -135,6 +136,11 @@
         const bool goes_on = session->parser.Feed(std::string_view(session->in.data(), size), words);
         if (waited && session->parser.begun()) ArmSilence(session);
         for (const std::string& word : words) Take(session, word);
+        // What such a word would have told, a server that drains perhaps, is in the whole list.
+        if (session->missed && session == session_) {
+          version_ = 0;
+          return Lost(session, "a word that cannot be used");
+        }
         if (!goes_on) return Lost(session, "the answer ended or was no watch");
         Read(session);
       });
@@ -152,8 +158,10 @@
     // Versions of two addresses are not comparable: what the former one tells must not be asked of this one.
     if (current) version_ = listing.version;
     if (current) Drop(former_);
+    session->missed = session->missed && !listing.complete;
     sink_(listing);
   } catch (const std::exception& error) {
+    session->missed = true;
     if (counters_.bad_lines++ == 0)
       LogWarning("discovery_bad_line",
                  "discovery sent a line that cannot be used: " + std::string(error.what()),
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -136,6 +136,17 @@
   watch->Stop();
 }
 
+// Guards against a change that is missed for good: the word that told it could not be used.
+TEST_F(WatchTest, AWordThatCannotBeUsedIsMadeUpForByTheWholeList) {
+  says = {head + Chunk(List(7, "a") + "\n") + Chunk("{\"revision\":8,\"complete\":fal}\n"),
+          head + Chunk(List(9, "b") + "\n")};
+  const auto watch = Watch(Address(agent_));
+  Until([&] { return heard == "a b"; });
+  EXPECT_EQ(asked[1], "GET /registry/instances?follow=1&since=0");
+  EXPECT_EQ(watch->counters().bad_lines, 1u);
+  watch->Stop();
+}
+
 // Guards against bytes that say nothing keeping a watch alive: one that stays amid a word, one that trickles
 // and never comes to an end of it, one that says what is no list.
 TEST_F(WatchTest, OneThatSaysNothingWholeIsOpenedAnewBeforeItCountsAsTold) {
@@ -228,5 +239,49 @@
   watch->Stop();
 }
 
+// Guards against a gap after SIGHUP where the new address says nothing: the former one is followed, and when
+// that falls away as well, the new one is still asked.
+TEST_F(WatchTest, ASilentNewAddressIsAskedAgainWhileTheFormerOneIsFollowed) {
+  tcp::acceptor second(io, Loopback(0));
+  Accept(second, "second ");
+  says = {head + Chunk(List(40, "a") + "\n")};
+  const auto watch = Watch(Address(agent_));
+  Until([&] { return heard == "a"; });
+  watch->Redirect(Address(second));
+  Until([&] { return asked.size() >= 4; });  // it has been given up twice
+  Say(0, Chunk(List(41, "b") + "\n"));
+  Until([&] { return heard == "a b"; });
+  sessions[0]->close();
+  const std::size_t then = asked.size();
+  Until([&] { return asked.size() >= then + 2; });
+  says.resize(sessions.size());
+  says.resize(sessions.size() + 50, head + Chunk(List(3, "c") + "\n"));
+  Until([&] { return heard == "a b c"; });
+  EXPECT_EQ(asked.back(), "second GET /registry/instances?follow=1&since=0");
+  watch->Stop();
+}
+
+// Guards against an address that is named while discovery is down and given up for good, or asked for changes
+// to what another one told.
+TEST_F(WatchTest, AnAddressNamedWhileDiscoveryIsDownIsWatchedOnceItIsUp) {
+  says = {head + Chunk(List(40, "a") + "\n"), head + Chunk(List(3, "b") + "\n")};
+  const auto watch = Watch(Address(agent_));
+  Until([&] { return heard == "a"; });
+  agent_.close();
+  sessions[0]->close();
+  Until([&] { return watch->counters().lost >= 2; });
+  tcp::acceptor second(io, Loopback(0));
+  const tcp::endpoint there = second.local_endpoint();
+  second.close();
+  watch->Redirect("127.0.0.1:" + std::to_string(there.port()));
+  const std::uint64_t lost = watch->counters().lost;
+  Until([&] { return watch->counters().lost >= lost + 2; });
+  tcp::acceptor up(io, there);
+  Accept(up, "second ");
+  Until([&] { return heard == "a b"; });
+  EXPECT_EQ(asked.back(), "second GET /registry/instances?follow=1&since=0");
+  watch->Stop();
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
