Make room between handlers, and end a repeat whose last byte would come past its window

Seen by reading, then shown by tests that fail on the lines before: - ClientFront::Resize closed idle clients at once, and is called from the news of the other process that is read in the middle of a request (FrontOptions::before_request): its own client had request == 0 and nothing unread, looked idle, was closed, and its request was submitted for nobody. It sheds behind that handler now. - ServerPool::Run looked at start_by once, before the first byte; the rest of a large keyed repeat went out whenever its server read on, and servers begin with the last byte. One function tells both. - Handed over and told to stop, half-read statements had no last word; they are dismissed as in any stop. Tests with nothing to mend: moved addresses, a shrunken list, a drain amid a statement, spoilt and endless answers, an answer at its deadline, leaving while held for catch-up, a further try or room, a request that crosses the close of its connection, stops before the first list, and both partners of a hand-over dying.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -25,7 +25,7 @@
 // Answers that a client has not read yet; beyond them its next queries wait.
 constexpr std::size_t kMostUnsent = std::size_t{16} << 10;
 // And one that came to a router out of service: another one takes it at once.
-constexpr int kElsewhereRetryMs = 20;
+constexpr Micros kElsewhereRetry = 20'000;
 // A client that takes nothing of what is sent to it for so long is given up.
 constexpr Micros kStuck = 30'000'000;
 // A client that has sent nothing for so long since it connected, or of what it has begun, is told so and let
@@ -165,8 +165,12 @@
 void ClientFront::Resize(const FrontLimits& limits) {
   options_.limits = limits;
   budget_.Resize(limits.large_statements);
-  while (clients_.size() > limits.most_clients && ShedIdle()) {
-  }
+  // Between two handlers: what another process tells is read in the middle of a request, whose client looks
+  // idle until it has been handed in, and would be closed with it.
+  asio::post(io_, [this] {
+    while (clients_.size() > options_.limits.most_clients && ShedIdle()) {
+    }
+  });
 }
 
 void ClientFront::Accept() {
@@ -401,19 +405,18 @@
   client->refusals = 0;
   if (client->no_place) {
     exchange_.CountTurnedAway(class_index, Refused{});
-    return EndWith(client, "53300", kTooMany, RetryWhenCrowded(class_index));
+    return EndWith(client, "53300", kTooMany, ReturnIn(kNoLimit));
   }
   if (service_.Refuses(clock_.Now())) {
     exchange_.CountTurnedAway(class_index, Refused{});
-    return EndWith(client, "57P03", "out of service: trying again is harmless",
-                   std::to_string(kElsewhereRetryMs));
+    return EndWith(client, "57P03", "out of service: trying again is harmless", ReturnIn(kElsewhereRetry));
   }
   // Where all that clients may hold is busy, nobody can even ask, in this process or the one that takes over.
   const bool crowded = asking_.size() >= options_.limits.most_open;
   if (crowded || (!client->room && carried_ + text.size() > options_.limits.most_buffered)) {
     ++counters_.turned_away;
     exchange_.CountTurnedAway(class_index, Refused{});
-    pg::AppendError(client->out, "ERROR", "53300", "too much is under way", RetryWhenCrowded(class_index));
+    pg::AppendError(client->out, "ERROR", "53300", "too much is under way", ReturnIn(kNoLimit));
     return pg::AppendReady(client->out);
   }
   // It may have come long ago, behind an answer or for want of room, and its client has gone since.
@@ -444,12 +447,11 @@
   return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-// When a client may come back that was refused for want of room: as the module has it, so that the crowd does
-// not come back at once.
-std::string ClientFront::RetryWhenCrowded(int class_index) const {
+// When a refused client may come back, where the settings let it be told: no later than it heeds.
+std::string ClientFront::ReturnIn(Micros time) const {
   const Settings& settings = exchange_.settings();
-  const Micros aim = settings.classes[static_cast<std::size_t>(class_index)].aim;
-  return settings.retry_after ? std::to_string(std::min(settings.max_retry_after, aim) / 1000) : "";
+  const Micros told = std::min(settings.max_retry_after, time);
+  return settings.retry_after && told > 0 ? std::to_string(told / 1000) : "";
 }
 
 // Why a statement is not taken as a request; null: it is.
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -90,7 +90,7 @@
   void OnQuery(const ClientPtr& client, std::string_view text);
   // Its machine has said by now that it sends no more, whatever is still unread before that.
   static bool HasLeft(Client& client);
-  std::string RetryWhenCrowded(int class_index) const;
+  std::string ReturnIn(Micros time) const;
   const char* WhyNot(const pg::Statement* statement, const ClassNames::const_iterator& found) const;
   void EndRequest(const ClientPtr& client);
   // Passes on what has come of a large value.
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -292,7 +292,7 @@
     if (service_.state() != Service::State::kHandedOver) front_.StopAccepting();
     LogInfo("draining", "draining: " + std::to_string(exchange_.live()) + " requests are still out");
   }
-  if (since >= stop_plan_.answer_by && alone) front_.Dismiss();
+  if (since >= stop_plan_.answer_by) front_.Dismiss();
   // Others may be stopped in turn, and this one's successor begins when it has ended: it stays for nobody who
   // only holds a connection.
   done_ = (!listening_ && (front_.clients() == 0 || (alone && !front_.Owes(kSlowest)))) ||
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -20,7 +20,9 @@
 // A connection is used no more well before the server closes it: a query that crosses its close ends as a
 // reset.
 constexpr double kIdleShare = 0.6;
-constexpr auto kSweepEvery = std::chrono::milliseconds(500);
+// The sweep comes round twice in what is left of the idle time then, and as often as this for what stalls.
+constexpr int kSweepsInRest = 2;
+constexpr Micros kSweepEvery = 500'000, kLeastSweep = 10'000;
 // A server may send more than was asked for right behind an answer. A connection rests for so long before the
 // next query, so that what comes then is never taken for that query's answer.
 constexpr Micros kRest = 2'000;
@@ -58,6 +60,7 @@
   std::size_t value_left = 0;
   bool paused = false;
   Micros last_bytes = 0;
+  Micros start_by = kNoLimit;  // of the statement that is being written
   std::string out, wait;
   std::shared_ptr<const Payload> payload;      // while it is being written
   std::array<asio::const_buffer, 5> unsent{};  // what the socket has not taken yet
@@ -299,6 +302,7 @@
   }
   link->state = Connection::State::kBusy;
   link->ticket = job.ticket;
+  link->start_by = job.start_by;
   using Query = pg::AnswerReader::Query;
   link->answer = pg::AnswerReader(job.payload ? Query::kStatement : Query::kProbe);
   link->transfer.reset();
@@ -333,7 +337,9 @@
   }
   if (error == asio::error::would_block) {
     return link->socket.async_wait(asio::socket_base::wait_write, [this, link](std::error_code failed) {
-      if (!failed && link->state != Connection::State::kClosed) Write(link);
+      if (failed || link->state == Connection::State::kClosed) return;
+      if (link->state == Connection::State::kBusy && link->start_by < clock_.Now()) return TooLate(link);
+      Write(link);
     });
   }
   if (error) return OnBroken(link);
@@ -341,6 +347,14 @@
   if (link->state == Connection::State::kBusy) exchange_.Written(link->ticket);
 }
 
+// The rest of a statement has waited for its server for too long. That begins with the last byte: sent now,
+// it could take effect a second time.
+void ServerPool::TooLate(const Link& link) {
+  const Ticket ticket = link->ticket;
+  Drop(link);
+  exchange_.Finished(clock_.Now(), ticket, Outcome{.status = Status::kMoot});
+}
+
 void ServerPool::OnBroken(const Link& link) {
   if (link->state == Connection::State::kOpening) return OpenFailed(link, Status::kConnectFailed);
   const bool busy = link->state == Connection::State::kBusy;
@@ -447,7 +461,8 @@
 }
 
 void ServerPool::ArmSweep() {
-  sweep_.expires_after(kSweepEvery);
+  const auto rest = static_cast<Micros>((1 - kIdleShare) * static_cast<double>(options_.idle_close));
+  sweep_.expires_after(std::chrono::microseconds(std::clamp(rest / kSweepsInRest, kLeastSweep, kSweepEvery)));
   sweep_.async_wait([this](std::error_code error) {
     if (error) return;
     Sweep();
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -84,6 +84,7 @@
   void OnReady(const Link& link);
   void Run(const Link& link, Job job);
   void Write(const Link& link);
+  void TooLate(const Link& link);
   void OnBroken(const Link& link);
   void OpenFailed(const Link& link, Status status);
   void Close(const Link& link);
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -4,14 +4,12 @@
 #include <sys/socket.h>
 
 #include <asio.hpp>
-#include <functional>
-#include <mutex>
+#include <chrono>
 #include <string>
-#include <thread>
-#include <vector>
+#include <variant>
 
+#include "src/net/front.hpp"
 #include "tests/rig.hpp"
-#include "tests/running.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -31,14 +29,19 @@
     rig.Until([&] { return rig.clock.Now() > then + 10'000; });
     rig.Settle();
   }
-  // Serves whatever is asked on the next connection.
-  void ServeOn(std::size_t which, const std::string& statement, RequestId id) {
-    ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-    server.Greet(which);
-    ASSERT_TRUE(rig.Until([&] { return server.Got(which, statement); }));
-    server.Say(which, Row("v"));
+  // Serves what is asked on the next connection there.
+  void ServeOn(HeldServer& at, std::size_t which, const std::string& statement, RequestId id) {
+    ASSERT_TRUE(rig.Until([&] { return at.Came(); }));
+    at.Greet(which);
+    ASSERT_TRUE(rig.Until([&] { return at.Got(which, statement); }));
+    at.Say(which, Row("v"));
     EXPECT_TRUE(rig.Until([&] { return rig.Served(id); }));
   }
+  // The connection has ended, and that never came on it.
+  void EndedWithout(std::size_t which, const std::string& statement) {
+    EXPECT_TRUE(rig.Until([&] { return server.Drain(which); }));
+    EXPECT_EQ(server.got[which].find(statement), std::string::npos);
+  }
 
   HeldServer server;
   Rig rig;
@@ -51,7 +54,7 @@
   server.sockets[0].shutdown(tcp::socket::shutdown_send);  // it goes on reading, and would run what comes
   rig.Gather();
   const RequestId id = rig.Ask("second");
-  ServeOn(1, "second", id);
+  ServeOn(server, 1, "second", id);
   server.Drain(0);
   EXPECT_EQ(server.got[0].find("second"), std::string::npos);
   EXPECT_EQ(rig.outcomes(Status::kConnectFailed), 0u);
@@ -62,7 +65,7 @@
   Warm();
   server.sockets[0].shutdown(tcp::socket::shutdown_send);
   const RequestId id = rig.Ask("second");
-  ServeOn(1, "second", id);
+  ServeOn(server, 1, "second", id);
   server.Drain(0);
   EXPECT_EQ(server.got[0].find("second"), std::string::npos);
 }
@@ -162,18 +165,13 @@
   rig.Tell(Rig::Listed("b", other.port()));
   rig.Tell(Rig::Listed("a", server.port(), ServerState::kDraining));
   server.Greet(0);  // late
-  ASSERT_TRUE(rig.Until([&] { return other.Came(); }));
-  other.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return other.Got(0, "statement"); }));
-  other.Say(0, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.Served(id); }));
-  EXPECT_TRUE(rig.Until([&] { return server.Drain(0); }));
-  EXPECT_EQ(server.got[0].find("statement"), std::string::npos);
+  ServeOn(other, 0, "statement", id);
+  EndedWithout(0, "statement");
   // Back in service, it takes requests again.
   rig.Tell(Rig::Listed("b", other.port(), ServerState::kDraining));
   rig.Tell(Rig::Listed("a", server.port()));
   const RequestId next = rig.Ask("next");
-  ServeOn(1, "next", next);
+  ServeOn(server, 1, "next", next);
 }
 
 // Guards against a statement that goes on to its server after its client has gone, in the middle of it.
@@ -213,99 +211,206 @@
   EXPECT_TRUE(rig.Until([&] { return rig.outcomes(Status::kOk) == 2; }));
 }
 
-// How clients leave.
-void Reset(Peer& peer) {
-  peer.socket().set_option(asio::socket_base::linger(true, 0));
-  peer.socket().close();
+// Guards against the same where the server is in a whole list no more.
+TEST_F(Crossing, WhatWaitsForAConnectionWhenItsServerLeavesTheListGoesElsewhere) {
+  HeldServer other;
+  rig.Know({Rig::Listed("a", server.port())});
+  const RequestId id = rig.Ask("statement");
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  rig.exchange.Heard(rig.clock.Now(), Listing{9, true, {Rig::Listed("b", other.port())}});
+  rig.Carry();
+  server.Greet(0);  // late
+  ServeOn(other, 0, "statement", id);
+  EndedWithout(0, "statement");
 }
-void HalfClose(Peer& peer) { peer.socket().shutdown(tcp::socket::shutdown_send); }
-void CloseWhole(Peer& peer) { peer.socket().close(); }
 
-class Leaving : public testing::Test {
- protected:
-  static bool NothingOut(Running& node) {
-    return node.Call("GET", "/control/counters").find("in_progress=0\n") != std::string::npos;
-  }
-  static bool Out(Running& node, int requests) {
-    return node.Call("GET", "/control/counters").find("in_progress=" + std::to_string(requests) + "\n") !=
-           std::string::npos;
-  }
-  // So many clients each send a request that waits for a connection, and `more` behind it, and leave in that
-  // way; then the connections come up. Nothing may come on them.
-  static void LeaveWhileItWaits(int clients, const std::string& more,
-                                const std::function<void(Peer&)>& leave) {
-    asio::io_context io;
-    tcp::acceptor acceptor(io, Loopback(0));
-    std::vector<tcp::socket> held;
-    {
-      Running node({acceptor.local_endpoint().port()}, 512, 1, [](Config& config) {
-        config.settings.classes[0].effect = Effect::kUnsafe;
-        config.connect_timeout = 20'000'000;
-      });
-      std::vector<Peer> peers;
-      for (int i = 0; i < clients; ++i) {
-        peers.push_back(node.Session());
-        peers.back().Write(Ask("w" + std::to_string(i)) + more);
-      }
-      for (int i = 0; i < clients; ++i) held.push_back(acceptor.accept());
-      while (!Out(node, clients)) std::this_thread::yield();
-      for (Peer& peer : peers) leave(peer);
-      while (!NothingOut(node)) std::this_thread::yield();
-      std::string hello;
-      pg::AppendAuthenticationOk(hello);
-      pg::AppendReady(hello);
-      for (tcp::socket& socket : held) {
-        std::error_code ignored;
-        asio::write(socket, asio::buffer(hello), ignored);
-      }
-      while (node.Call("GET", "/control/counters").find("in_progress=0\nknown_readings_servers=1\n") ==
-             std::string::npos) {
-      }
-    }
-    for (tcp::socket& socket : held) {
-      std::string all;
-      std::error_code end;
-      asio::read(socket, asio::dynamic_buffer(all), end);
-      EXPECT_EQ(all.find("SELECT"), std::string::npos);
+// Guards against a statement that goes to where its server no longer is.
+TEST_F(Crossing, WhatWaitsForAConnectionWhenTheAddressMovesGoesToTheNewOne) {
+  HeldServer moved;
+  rig.Know({Rig::Listed("a", server.port())});
+  const RequestId id = rig.Ask("statement");
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  rig.Tell(Rig::Listed("a", moved.port()));  // the old one never comes up
+  ServeOn(moved, 0, "statement", id);
+  EndedWithout(0, "statement");
+}
+
+// Guards against the next query on the connection that was busy as the address moved, and against that
+// query's end.
+TEST_F(Crossing, WhatIsOutWhenTheAddressMovesIsLetFinishAndNothingFollowsIt) {
+  HeldServer moved;
+  Warm();
+  const RequestId id = rig.Ask("second");
+  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "second"); }));
+  rig.Tell(Rig::Listed("a", moved.port()));
+  server.Say(0, Row("v"));
+  EXPECT_TRUE(rig.Until([&] { return rig.Served(id); }));
+  const RequestId third = rig.Ask("third");
+  ServeOn(moved, 0, "third", third);
+  EndedWithout(0, "third");
+}
+
+// Guards against a statement broken off in the middle, which began before its server drained.
+TEST_F(Crossing, AStatementThatIsBeingWrittenWhenItsServerDrainsIsWrittenWhole) {
+  Warm();
+  const std::string statement(std::size_t{64} << 20, 'x');
+  const RequestId id = rig.Ask(statement);
+  rig.Settle();
+  rig.Tell(Rig::Listed("a", server.port(), ServerState::kDraining));
+  ASSERT_TRUE(rig.Until([&] { return server.Drain(0) || server.got[0].size() > statement.size(); }));
+  server.Say(0, Row("v"));
+  EXPECT_TRUE(rig.Until([&] { return rig.Served(id); }));
+}
+
+// Guards against a repeat that began within its window and is whole after it: servers begin with the last
+// byte, so that it would run a second time.
+TEST(CrossingWindow, ARepeatWhoseLastByteWouldComeTooLateIsNotSentToItsEnd) {
+  Settings settings = Rig::OneClass(Effect::kKeyed);
+  settings.classes[0].repeat_window = 400'000;
+  HeldServer first, second;
+  Rig rig(settings);
+  rig.Know({Rig::Listed("a", first.port())});
+  const std::string statement(std::size_t{64} << 20, 'x');
+  const RequestId id = rig.Ask(statement);
+  ASSERT_TRUE(rig.Until([&] { return first.Came(); }));
+  first.Greet(0);
+  ASSERT_TRUE(rig.Until([&] { return first.Got(0, "xxx"); }));
+  const Micros window_over = rig.clock.Now() + 400'000;
+  rig.Tell(Rig::Listed("b", second.port()));
+  std::string error;
+  pg::AppendError(error, "ERROR", "XX000", "it may have run");
+  pg::AppendReady(error);
+  first.Say(0, error);
+  ASSERT_TRUE(rig.Until([&] { return second.Came(); }));
+  second.Greet(0);
+  ASSERT_TRUE(rig.Until([&] { return second.Got(0, "xxx"); }));
+  ASSERT_TRUE(rig.Until([&] { return rig.clock.Now() > window_over; }));
+  EXPECT_TRUE(rig.Until([&] { return second.Drain(0) || second.got[0].size() > statement.size(); }));
+  EXPECT_LT(second.got[0].size(), statement.size());
+  EXPECT_EQ(rig.outcomes(Status::kMoot), 1u);
+  EXPECT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
+}
+
+Settings Soon() {
+  Settings settings = Rig::OneClass(Effect::kUnsafe);
+  settings.classes[0].aim = settings.classes[0].deadline = 300'000;
+  return settings;
+}
+
+// Guards against an attempt that is said to have run, perhaps, though its connection never came up: its
+// client would be told that it failed, where trying again is harmless.
+TEST(CrossingDeadline, WhatStillWaitsForItsConnectionAtTheDeadlineNeverRan) {
+  HeldServer server;
+  Rig rig(Soon());
+  rig.Know({Rig::Listed("a", server.port())});
+  const RequestId id = rig.Ask("statement", 300'000);
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  ASSERT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
+  EXPECT_TRUE(std::holds_alternative<Refused>(rig.answers.at(id)));
+  EXPECT_EQ(rig.outcomes(Status::kConnectFailed), 1u);
+}
+
+// Guards against a second answer, or none, where the value lies ready as the deadline is over, whichever of
+// the two is heard of first.
+TEST(CrossingDeadline, AnAnswerThatLiesReadyAtTheDeadlineMakesOneAnswer) {
+  for (const bool answer_first : {true, false}) {
+    HeldServer server;
+    Rig rig(Soon());
+    rig.Know({Rig::Listed("a", server.port())});
+    const RequestId id = rig.Ask("statement", 300'000);
+    ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+    server.Greet(0);
+    ASSERT_TRUE(rig.Until([&] { return server.Got(0, "statement"); }));
+    server.Say(0, Row("v"));
+    const auto over = std::chrono::steady_clock::now() + std::chrono::milliseconds(320);
+    while (std::chrono::steady_clock::now() < over) {
     }
+    rig.clock.NewTurn();
+    if (!answer_first) rig.Carry();
+    rig.Settle();
+    EXPECT_EQ(rig.Served(id), answer_first);
+    const ExchangeCounters& counters = rig.exchange.counters();
+    EXPECT_EQ(counters.served, answer_first ? 1u : 0u);
+    EXPECT_EQ(counters.refused + counters.failed, answer_first ? 0u : 1u);
+    EXPECT_EQ(rig.pool.connections(), answer_first ? 1u : 0u);
   }
-};
+}
 
-TEST_F(Leaving, ByAClose) { LeaveWhileItWaits(1, "", CloseWhole); }
-TEST_F(Leaving, ByAReset) { LeaveWhileItWaits(1, "", Reset); }
-TEST_F(Leaving, ByAHalfClose) { LeaveWhileItWaits(1, "", HalfClose); }
-TEST_F(Leaving, AllAtOnce) { LeaveWhileItWaits(60, "", Reset); }
-// Guards against a leaving that is not come upon, since nothing more is read of who has sent far ahead.
-TEST_F(Leaving, WithFarMoreSentBehindIt) {
+// Guards against an answer without end that holds its request, or fills the memory.
+TEST(CrossingSpoilt, AnAnswerThatNeverEndsIsEndedByItsTime) {
+  Settings settings = Rig::OneClass(Effect::kSafe);
+  settings.classes[0].aim = 300'000;
+  HeldServer server;
+  Rig rig(settings);
+  rig.Know({Rig::Listed("a", server.port())});
+  const RequestId id = rig.Ask("statement");
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  server.Greet(0);
+  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "statement"); }));
   std::string more;
-  for (int i = 0; more.size() < 150'000; ++i) more += Ask("m" + std::to_string(i));
-  LeaveWhileItWaits(1, more, CloseWhole);
-  LeaveWhileItWaits(1, more, Reset);
-  LeaveWhileItWaits(1, more, HalfClose);
+  pg::AppendParameterStatus(more, "more", std::string(1000, 'x'));
+  ASSERT_TRUE(rig.Until([&] {
+    server.Say(0, more);
+    return rig.answers.contains(id);
+  }));
+  EXPECT_TRUE(std::holds_alternative<Refused>(rig.answers.at(id)));
+  EXPECT_EQ(rig.pool.connections(), 0u);
 }
 
-// Guards against a request that waited behind another's answer and is begun then, long after its client left.
-TEST_F(Leaving, ARequestBehindAnAnswerIsNotBegunForWhoHasLeft) {
-  std::mutex gate;
-  gate.lock();
-  ScriptedServer server([&](const std::string&) {
-    const std::lock_guard wait(gate);
-    return Row("v");
-  });
-  {
-    Running node({server.port()}, 256, 1,
-                 [](Config& config) { config.settings.classes[0].effect = Effect::kUnsafe; });
-    std::string more;
-    for (int i = 0; more.size() < 150'000; ++i) more += Ask("m" + std::to_string(i));
-    Peer client = node.Session();
-    client.Write(Ask("first") + more);
-    while (server.queries().empty()) std::this_thread::yield();
-    HalfClose(client);
-    gate.unlock();  // answered before the look at those that are not read
-    while (!NothingOut(node)) std::this_thread::yield();
-    EXPECT_TRUE(client.UntilReady().back().first != 's');
+// Guards against a good answer that lies behind a spoilt one and is taken for the next query's, and against
+// two attempts out at once: the spoilt one's connection is closed before the next server hears anything.
+TEST(CrossingSpoilt, AGoodAnswerBehindASpoiltOneIsNobodys) {
+  HeldServer first, second;
+  Rig rig(Rig::OneClass(Effect::kSafe));
+  rig.Know({Rig::Listed("a", first.port())});
+  const RequestId id = rig.Ask("statement");
+  ASSERT_TRUE(rig.Until([&] { return first.Came(); }));
+  first.Greet(0);
+  ASSERT_TRUE(rig.Until([&] { return first.Got(0, "statement"); }));
+  rig.Tell(Rig::Listed("b", second.port()));
+  std::string spoilt;
+  pg::AppendMessage(spoilt, 'W', "no such message");
+  first.Say(0, spoilt + Row("not asked for"));
+  ASSERT_TRUE(rig.Until([&] { return second.Came(); }));
+  EXPECT_TRUE(first.Drain(0));  // not a turn later
+  second.Greet(0);
+  ASSERT_TRUE(rig.Until([&] { return second.Got(0, "statement"); }));
+  second.Say(0, Row("v"));
+  ASSERT_TRUE(rig.Until([&] { return rig.Served(id); }));
+  EXPECT_EQ(std::get<Served>(rig.answers.at(id)).value.value, "v");
+  EXPECT_EQ(rig.outcomes(Status::kError), 1u);
+}
+
+// Guards against a client that is closed in the middle of its request: another process of this router tells
+// that it has come, room is made for it, and who has just asked looks idle.
+TEST(CrossingNews, WhatMakesRoomWhileARequestIsReadDoesNotCloseItsClient) {
+  asio::io_context io;
+  LoopClock clock;
+  Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
+  exchange.Start(clock.Now(), Listing{1, true, {}});
+  const Service service;
+  ClientFront* told = nullptr;
+  FrontOptions options{Loopback(0), {100, 100, 100, 1 << 20}};
+  options.before_request = [&] { told->Resize({0, 100, 100, 1 << 20}); };
+  ClientFront front(io, clock, exchange, service, options);
+  told = &front;
+  front.StartAccepting();
+  tcp::socket socket(io);
+  socket.connect(Loopback(front.port()));
+  Peer client(std::move(socket), false);
+  std::string hello;
+  pg::AppendStartup(hello, "api", "ledger");
+  client.Write(hello + Ask("1"));
+  while (exchange.counters().taken == 0) io.run_one();
+  while (io.poll_one() > 0) {
+  }
+  EXPECT_EQ(front.clients(), 1u);
+  for (const Command& command : exchange.TakeCommands()) {
+    if (const auto* answer = std::get_if<AnswerRequest>(&command)) front.Deliver(answer->id, answer->answer);
   }
-  EXPECT_EQ(server.queries().size(), 1u);
+  client.UntilReady();
+  EXPECT_EQ(CodeOf(client.UntilReady()), "53300");
+  front.Stop();
 }
 
 }  // namespace
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -5,12 +5,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <memory>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "tests/running.hpp"
+
 namespace tulipyoke::net {
 namespace {
 
@@ -140,5 +146,95 @@
   EXPECT_TRUE(a.handover.alone());
 }
 
+// A node beside a partner that is a bare socket, which dies at the step that the test chooses.
+class Upgrade : public testing::Test {
+ protected:
+  using Local = asio::local::stream_protocol;
+
+  Upgrade() : held_(io_, Loopback(0)), server_([](const std::string&) { return Row("v"); }) {
+    std::filesystem::create_directories(folder_);
+  }
+  ~Upgrade() override { std::filesystem::remove_all(folder_); }
+  std::unique_ptr<Running> Start() {
+    return std::make_unique<Running>(std::vector<std::uint16_t>{server_.port()}, 256, 1, [&](Config& config) {
+      config.accept_fd = ::dup(held_.native_handle());
+      config.temporary = folder_;
+    });
+  }
+  static bool Ready(Running& node) {
+    return node.Call("GET", "/control/ready").find(" 200 ") != std::string::npos;
+  }
+  static void UntilReadyIs(Running& node, bool ready) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (Ready(node) != ready && std::chrono::steady_clock::now() < end) std::this_thread::yield();
+    EXPECT_EQ(Ready(node), ready);
+  }
+  static void Serves(Running& node) {
+    Peer client = node.Session();
+    client.Write(Ask("1"));
+    EXPECT_EQ(client.UntilReady()[0].first, 'T');
+  }
+  static void Hear(Local::socket& partner, const std::string& line) {
+    std::string heard;
+    while (heard.find(line + "\n") == std::string::npos) {
+      std::array<char, 256> bytes;
+      std::error_code ended;
+      heard.append(bytes.data(), partner.read_some(asio::buffer(bytes), ended));
+      ASSERT_FALSE(ended) << heard;
+    }
+  }
+  // A newer process that has been told all.
+  Local::socket Newer() {
+    Local::socket newer(io_);
+    newer.connect(Local::endpoint(Path()));
+    asio::write(newer, asio::buffer(std::string("hello\n")));
+    Hear(newer, "synced");
+    return newer;
+  }
+  std::string Path() const { return folder_ + "/tulipyoke-n.sock"; }
+
+ private:
+  const std::string folder_ = testing::TempDir() + "tulipyoke_beside_" + std::to_string(::getpid());
+
+ protected:
+  asio::io_context io_;
+
+ private:
+  tcp::acceptor held_;
+  ScriptedServer server_;
+};
+
+// Guards against an older process that leaves its clients to one that has died, before it served or after.
+TEST_F(Upgrade, ANewerProcessThatDiesGivesTheClientsBack) {
+  const std::unique_ptr<Running> older = Start();
+  Newer().close();
+  Serves(*older);
+  EXPECT_TRUE(Ready(*older));
+  {
+    Local::socket newer = Newer();
+    Peer kept = older->Session();
+    asio::write(newer, asio::buffer(std::string("serving\n")));
+    kept.Write(Ask("during"));  // whichever is read first
+    EXPECT_EQ(kept.UntilReady()[0].first, 'T');
+    UntilReadyIs(*older, false);
+  }
+  UntilReadyIs(*older, true);
+  Serves(*older);
+}
+
+// Guards against a newer process that waits for one that has died amid what it had to tell, and one that
+// serves before it has heard all from one that lives.
+TEST_F(Upgrade, AnOlderProcessThatDiesBeforeItHasToldAllIsNotWaitedFor) {
+  Local::acceptor older(io_, Local::endpoint(Path()));
+  const std::unique_ptr<Running> newer = Start();
+  Local::socket link = older.accept();
+  Hear(link, "hello");
+  asio::write(link, asio::buffer(std::string("session 1 0 5\nsess")));
+  EXPECT_FALSE(Ready(*newer));
+  link.close();
+  UntilReadyIs(*newer, true);
+  Serves(*newer);
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
--- /dev/null
+++ b/tests/leaving_test.cpp
@@ -0,0 +1,198 @@
+// Clients that leave while their request waits: it is not sent on, wherever it waits. See
+// docs/design/crossings.md.
+#include <gtest/gtest.h>
+
+#include <asio.hpp>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/net/front.hpp"
+#include "tests/rig.hpp"
+#include "tests/running.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+// How clients leave.
+void Reset(Peer& peer) {
+  peer.socket().set_option(asio::socket_base::linger(true, 0));
+  peer.socket().close();
+}
+void HalfClose(Peer& peer) { peer.socket().shutdown(tcp::socket::shutdown_send); }
+void CloseWhole(Peer& peer) { peer.socket().close(); }
+
+class Leaving : public testing::Test {
+ protected:
+  static bool NothingOut(Running& node) {
+    return node.Call("GET", "/control/counters").find("in_progress=0\n") != std::string::npos;
+  }
+  static bool Out(Running& node, int requests) {
+    return node.Call("GET", "/control/counters").find("in_progress=" + std::to_string(requests) + "\n") !=
+           std::string::npos;
+  }
+  // So many clients each send a request that waits for a connection, and `more` behind it, and leave in that
+  // way; then the connections come up. Nothing may come on them.
+  static void LeaveWhileItWaits(int clients, const std::string& more,
+                                const std::function<void(Peer&)>& leave) {
+    asio::io_context io;
+    tcp::acceptor acceptor(io, Loopback(0));
+    std::vector<tcp::socket> held;
+    {
+      Running node({acceptor.local_endpoint().port()}, 512, 1, [](Config& config) {
+        config.settings.classes[0].effect = Effect::kUnsafe;
+        config.connect_timeout = 20'000'000;
+      });
+      std::vector<Peer> peers;
+      for (int i = 0; i < clients; ++i) {
+        peers.push_back(node.Session());
+        peers.back().Write(Ask("w" + std::to_string(i)) + more);
+      }
+      for (int i = 0; i < clients; ++i) held.push_back(acceptor.accept());
+      while (!Out(node, clients)) std::this_thread::yield();
+      for (Peer& peer : peers) leave(peer);
+      while (!NothingOut(node)) std::this_thread::yield();
+      std::string hello;
+      pg::AppendAuthenticationOk(hello);
+      pg::AppendReady(hello);
+      for (tcp::socket& socket : held) {
+        std::error_code ignored;
+        asio::write(socket, asio::buffer(hello), ignored);
+      }
+      while (node.Call("GET", "/control/counters").find("in_progress=0\nknown_readings_servers=1\n") ==
+             std::string::npos) {
+      }
+    }
+    for (tcp::socket& socket : held) {
+      std::string all;
+      std::error_code end;
+      asio::read(socket, asio::dynamic_buffer(all), end);
+      EXPECT_EQ(all.find("SELECT"), std::string::npos);
+    }
+  }
+};
+
+TEST_F(Leaving, ByAClose) { LeaveWhileItWaits(1, "", CloseWhole); }
+TEST_F(Leaving, ByAReset) { LeaveWhileItWaits(1, "", Reset); }
+TEST_F(Leaving, ByAHalfClose) { LeaveWhileItWaits(1, "", HalfClose); }
+TEST_F(Leaving, AllAtOnce) { LeaveWhileItWaits(60, "", Reset); }
+// Guards against a leaving that is not come upon, since nothing more is read of who has sent far ahead.
+TEST_F(Leaving, WithFarMoreSentBehindIt) {
+  std::string more;
+  for (int i = 0; more.size() < 150'000; ++i) more += Ask("m" + std::to_string(i));
+  LeaveWhileItWaits(1, more, CloseWhole);
+  LeaveWhileItWaits(1, more, Reset);
+  LeaveWhileItWaits(1, more, HalfClose);
+}
+
+// Guards against a request that waited behind another's answer and is begun then, long after its client left.
+TEST_F(Leaving, ARequestBehindAnAnswerIsNotBegunForWhoHasLeft) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string&) {
+    const std::lock_guard wait(gate);
+    return Row("v");
+  });
+  {
+    Running node({server.port()}, 256, 1,
+                 [](Config& config) { config.settings.classes[0].effect = Effect::kUnsafe; });
+    std::string more;
+    for (int i = 0; more.size() < 150'000; ++i) more += Ask("m" + std::to_string(i));
+    Peer client = node.Session();
+    client.Write(Ask("first") + more);
+    while (server.queries().empty()) std::this_thread::yield();
+    HalfClose(client);
+    gate.unlock();  // answered before the look at those that are not read
+    while (!NothingOut(node)) std::this_thread::yield();
+    EXPECT_TRUE(client.UntilReady().back().first != 's');
+  }
+  EXPECT_EQ(server.queries().size(), 1u);
+}
+
+// Guards against a request whose attempt could not connect and that is sent again after its client has left;
+// the one beside it shows that there was a further try to be had.
+TEST_F(Leaving, WhileItIsHeldForAFurtherTry) {
+  Settings settings = Rig::OneClass(Effect::kUnsafe);
+  settings.classes[0].aim = 800'000;
+  HeldServer server;
+  Rig rig(settings);
+  rig.Know({Rig::Listed("a", server.port())});
+  const RequestId id = rig.Ask("leaves");
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  server.sockets[0].close();
+  ASSERT_TRUE(rig.Until([&] { return rig.outcomes(Status::kConnectFailed) == 1; }));
+  const RequestId stays = rig.Ask("stays");
+  EXPECT_EQ(rig.exchange.counters().attempts, 1u);  // both are held
+  rig.Leave(id);
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  server.Greet(1);
+  ASSERT_TRUE(rig.Until([&] { return server.Got(1, "stays"); }));
+  server.Say(1, Row("v"));
+  EXPECT_TRUE(rig.Until([&] { return rig.Served(stays); }));
+  EXPECT_EQ(rig.exchange.counters().attempts, 2u);
+}
+
+// Guards against a read that waits for a replica to catch up and goes there after its client has left.
+TEST_F(Leaving, WhileItIsHeldForCatchUp) {
+  Settings settings = Rig::OneClass(Effect::kSafe);
+  settings.classes[0].freshness = Freshness::kSession;
+  settings.classes[0].aim = 800'000;
+  settings.token_mode = TokenMode::kCarried;
+  HeldServer server;
+  Rig rig(settings);
+  rig.Know({Rig::Listed("a", server.port())});
+  const std::int64_t now = rig.clock.Now() / 1000;
+  const RequestId id = rig.Ask("leaves", 20'000'000, now - 1000);
+  const RequestId stays = rig.Ask("stays", 20'000'000, now - 1000);
+  EXPECT_EQ(rig.exchange.counters().attempts, 0u);
+  rig.Leave(id);
+  rig.exchange.Learn(rig.clock.Now(), ServerNews{"a", Role::kReplica, rig.clock.Now(), now - 500});
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  server.Greet(0);
+  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "stays"); }));
+  server.Say(0, Row("v"));
+  EXPECT_TRUE(rig.Until([&] { return rig.Served(stays); }));
+  EXPECT_EQ(rig.exchange.counters().attempts, 1u);
+}
+
+// Guards against a large statement that gets its room, and is read and sent, after its client has left: while
+// it waits for room nothing is read of it.
+TEST_F(Leaving, WhileItWaitsForRoomForALargeStatement) {
+  asio::io_context io;
+  LoopClock clock;
+  Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
+  exchange.Start(clock.Now(), Listing{1, true, {}});
+  const Service service;
+  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 100, 1 << 20, 1 << 20}});
+  front.StartAccepting();
+  const std::string large = Query(std::string(900'000, 'x'));
+  std::vector<Peer> peers;
+  for (const auto& leave : {CloseWhole, Reset, HalfClose}) {
+    while (peers.size() < 2) {
+      tcp::socket socket(io);
+      socket.connect(Loopback(front.port()));
+      peers.emplace_back(std::move(socket), false);
+      std::string hello;
+      pg::AppendStartup(hello, "api", "ledger");
+      peers.back().Write(hello + large.substr(0, 1000));  // the first has the room, the other waits for it
+      while (peers.back().socket().available() == 0) io.run_one();
+      peers.back().UntilReady();
+    }
+    leave(peers.back());
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (front.clients() == 2 && std::chrono::steady_clock::now() < end) {
+      peers.front().Write("x");  // so that it is not let go itself, and its room with it
+      clock.NewTurn();
+      io.run_one_for(std::chrono::milliseconds(20));
+    }
+    EXPECT_EQ(front.clients(), 1u);
+    peers.pop_back();
+  }
+  front.Stop();
+}
+
+}  // namespace
+}  // namespace tulipyoke::net
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -55,9 +56,11 @@
     exchange.Heard(clock.Now(), Listing{++version_, false, {server}});
     Carry();
   }
-  RequestId Ask(const std::string& statement) {
+  RequestId Ask(const std::string& statement, Micros wait = 20'000'000,
+                std::optional<std::int64_t> after_unix_ms = {}) {
     ClientRequest request;
-    request.wait = 20'000'000;
+    request.wait = wait;
+    request.after_unix_ms = after_unix_ms;
     request.payload = std::make_shared<const Payload>(Payload{statement, statement.size(), 0});
     const RequestId id = exchange.Submit(clock.Now(), request);
     Carry();
@@ -73,11 +76,13 @@
     asio::post(io, [&] { ran = true; });
     while (!ran) io.poll_one();
   }
-  // All that is there to be done now, in as many turns as it takes.
+  // All that is there to be done now, in as many turns as it takes: as the node has it, timers run behind the
+  // handlers of a turn.
   void Settle() {
-    do {
+    for (bool ran = true; ran; Carry()) {
       clock.NewTurn();
-    } while (io.poll_one() > 0 && (Carry(), true));
+      for (ran = false; io.poll_one() > 0; ran = true) CarryOut();
+    }
   }
   // False, and a failure, where it never comes to that.
   template <typename Done>
@@ -94,6 +99,9 @@
   }
   void Carry() {
     exchange.Tick(clock.Now());
+    CarryOut();
+  }
+  void CarryOut() {
     for (auto commands = exchange.TakeCommands(); !commands.empty(); commands = exchange.TakeCommands()) {
       for (const Command& command : commands) {
         if (const auto* attempt = std::get_if<StartAttempt>(&command)) pool.Start(*attempt);
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -75,6 +75,33 @@
   EXPECT_EQ(half.Next().first, '\0');
 }
 
+// Guards against a request that is read behind the close of its idle connection and sent on: its client sends
+// it once more elsewhere.
+TEST_F(Stop, ARequestThatCrossesTheCloseOfItsConnectionIsNotSentOn) {
+  Running node({server_.port()}, 256, 1, [](Config& config) {
+    Soon(config);
+    config.settings.classes[0].aim = 400'000;  // else there is no time to send it by the end
+  });
+  Peer idle = node.Session();
+  kill(getpid(), SIGTERM);
+  EXPECT_EQ(idle.Next().first, '\0');
+  idle.Write(Ask("1"));
+  node.Stop();
+  EXPECT_TRUE(server_.queries().empty());
+}
+
+// Guards against a stop that waits for a list, or loses what came before the first one.
+TEST_F(Stop, BeforeTheFirstListEachIsRefused) {
+  Running node({}, 256, 1, Soon);
+  Peer before = node.Session(), behind = node.Session();
+  before.Write(Ask("1"));
+  EXPECT_EQ(CodeOf(before.UntilReady()), "53300");
+  kill(getpid(), SIGTERM);
+  behind.Write(Ask("2"));
+  EXPECT_NE(CodeOf(behind.UntilReady()), "");
+  EXPECT_EQ(behind.Next().first, '\0');
+}
+
 // Guards against the half of an answer to a client that reads slowly, though there is time for it.
 TEST(StopSlow, AnAnswerThatIsHalfWrittenIsWrittenWhole) {
   ScriptedServer server([](const std::string&) { return Row(std::string(60'000, 'v')); });
