--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -1,7 +1,9 @@
 // Two events that cross, each brought about in its bad order every time: see docs/design/crossings.md.
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <asio.hpp>
 #include <chrono>
@@ -250,6 +252,25 @@
   EndedWithout(0, "third");
 }
 
+// Guards against a server that starts anew under its id while one attempt is out and another waits for its
+// connection: what may have run is not sent again, what has not goes to the new process.
+TEST_F(Crossing, AServerThatRestartsUnderItsIdTakesWhatHasNotRun) {
+  Warm();
+  const RequestId out = rig.Ask("second");
+  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "second"); }));
+  const RequestId waits = rig.Ask("third");
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  server.sockets[0].close();
+  server.sockets[1].close();
+  ListedServer anew = Rig::Listed("a", server.port());
+  anew.started_unix_ms = rig.clock.Now() / 1000;
+  rig.Tell(anew);
+  ServeOn(server, 2, "third", waits);
+  EXPECT_TRUE(rig.Until([&] { return rig.answers.contains(out); }));
+  EXPECT_TRUE(std::holds_alternative<Failed>(rig.answers.at(out)));
+  EXPECT_EQ(server.got[2].find("second"), std::string::npos);
+}
+
 // Guards against a statement broken off in the middle, which began before its server drained.
 TEST_F(Crossing, AStatementThatIsBeingWrittenWhenItsServerDrainsIsWrittenWhole) {
   Warm();
@@ -381,6 +402,66 @@
   EXPECT_EQ(rig.outcomes(Status::kError), 1u);
 }
 
+// Guards against accepting that goes on after it was paused: the pause behind an error was just over.
+TEST(CrossingAccept, APauseThatIsOverAsAcceptingIsPausedStartsNothing) {
+  asio::io_context io;
+  LoopClock clock;
+  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
+  const Service service;
+  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 100, 1 << 20}});
+  front.StartAccepting();
+  tcp::socket client(io, tcp::v4());
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int next = ::dup(0);  // the lowest that is free
+  ::close(next);
+  rlimit none = before;
+  none.rlim_cur = static_cast<rlim_t>(next);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+  client.connect(Loopback(front.port()));
+  while (front.counters().accept_errors == 0) io.run_one();
+  setrlimit(RLIMIT_NOFILE, &before);
+  const auto over = std::chrono::steady_clock::now() + std::chrono::milliseconds(30);
+  while (std::chrono::steady_clock::now() < over) {
+  }
+  bool ran = false;
+  asio::post(io, [&] { ran = true; });
+  while (!ran) io.poll_one();  // what is due now waits behind it
+  front.PauseAccepting();
+  while (io.poll_one() > 0) {
+  }
+  EXPECT_EQ(front.counters().accepted, 0u);
+  front.StartAccepting();
+  while (front.counters().accepted == 0) io.run_one();
+  front.Stop();
+}
+
+// Guards against one attempt more than the settings allow, where each is ended by an error and another server
+// is free to take it.
+TEST(CrossingRetries, TheLastAllowedAttemptIsTheLast) {
+  Settings settings = Rig::OneClass(Effect::kSafe);
+  settings.max_attempts = 2;
+  HeldServer servers[3];
+  Rig rig(settings);
+  rig.Know({Rig::Listed("0", servers[0].port())});
+  const RequestId id = rig.Ask("statement");
+  std::string error;
+  pg::AppendError(error, "ERROR", "XX000", "it may have run");
+  pg::AppendReady(error);
+  for (std::size_t i = 0; i < 2; ++i) {
+    ASSERT_TRUE(rig.Until([&] { return servers[i].Came(); }));
+    servers[i].Greet(0);
+    ASSERT_TRUE(rig.Until([&] { return servers[i].Got(0, "statement"); }));
+    rig.Tell(Rig::Listed(std::to_string(i + 1), servers[i + 1].port()));
+    EXPECT_FALSE(rig.answers.contains(id));
+    servers[i].Say(0, error);
+  }
+  ASSERT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
+  EXPECT_TRUE(std::holds_alternative<Refused>(rig.answers.at(id)));
+  rig.Settle();
+  EXPECT_FALSE(servers[2].Came());
+}
+
 // Guards against a client that is closed in the middle of its request: another process of this router tells
 // that it has come, room is made for it, and who has just asked looks idle.
 TEST(CrossingNews, WhatMakesRoomWhileARequestIsReadDoesNotCloseItsClient) {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -159,6 +159,7 @@
     return std::make_unique<Running>(std::vector<std::uint16_t>{server_.port()}, 256, 1, [&](Config& config) {
       config.accept_fd = ::dup(held_.native_handle());
       config.temporary = folder_;
+      config.settings.classes[0].deadline = 300'000;  // so that a stop is soon over
     });
   }
   static bool Ready(Running& node) {
@@ -222,6 +223,19 @@
   Serves(*older);
 }
 
+// Guards against a half-read statement at a process that has handed over and is stopped: its last byte would
+// cross the end.
+TEST_F(Upgrade, AHalfReadStatementAtTheOlderProcessIsRefusedBeforeItsEnd) {
+  const std::unique_ptr<Running> older = Start();
+  Local::socket newer = Newer();
+  Peer half = older->Session();
+  half.Write(Ask("1").substr(0, 40));
+  asio::write(newer, asio::buffer(std::string("serving\n")));
+  UntilReadyIs(*older, false);
+  kill(getpid(), SIGTERM);
+  EXPECT_EQ(CodeOf(half.UntilReady()), "57P03");
+}
+
 // Guards against a newer process that waits for one that has died amid what it had to tell, and one that
 // serves before it has heard all from one that lives.
 TEST_F(Upgrade, AnOlderProcessThatDiesBeforeItHasToldAllIsNotWaitedFor) {
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -112,6 +112,26 @@
   EXPECT_EQ(server.queries().size(), 1u);
 }
 
+// Guards against a further try that is taken for the first one, whose client has not waited for its answer:
+// each id has its own, in whichever order they come.
+TEST_F(Leaving, AFurtherTryBesideTheFirstOnesLateAnswer) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string& query) {
+    const bool first = query.find("id=first") != std::string::npos;
+    if (first) const std::lock_guard wait(gate);
+    return Row(first ? "late" : "in time");
+  });
+  Running node({server.port()});
+  Peer first = node.Session(), further = node.Session();
+  first.Write(Ask("first"));
+  while (server.queries().empty()) std::this_thread::yield();
+  further.Write(Ask("further"));
+  EXPECT_EQ(pg::ParseSingleColumn(further.UntilReady()[1].second), "in time");
+  gate.unlock();
+  EXPECT_EQ(pg::ParseSingleColumn(first.UntilReady()[1].second), "late");
+}
+
 // Guards against a request whose attempt could not connect and that is sent again after its client has left;
 // the one beside it shows that there was a further try to be had.
 TEST_F(Leaving, WhileItIsHeldForAFurtherTry) {
