Let the module end what a planned stop finds open, so that what was never sent is refused

Seen by reading: Exchange::EndBy set the last guard alone (kOverdue), and that answers Failed; a write held for its primary as a stop ends, or whose connection had not come up, was told that it may have taken effect, and its client does not ask again elsewhere. EndBy now fires the request's own timer at that moment, and the module's GiveUp tells refused from failed; its look at the deadline in On(TimerFired) went, since it sets that timer to the deadline itself. The guard stays. Exchange.APlannedEndRefusesWhatWasNeverSent fails without the kTimer line.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -224,8 +224,11 @@
 
 void Exchange::EndBy(Micros when) {
   end_by_ = when;
+  // The module says how each ends: what was never sent is refused, so that its client may ask elsewhere.
   for (const auto& [id, request] : requests_) {
-    if (request.deadline > when) Schedule(when, DueKind::kOverdue, id);
+    if (request.deadline <= when) continue;
+    Schedule(when, DueKind::kTimer, id);
+    Schedule(when, DueKind::kOverdue, id);
   }
 }
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -697,9 +697,7 @@
 }
 
 void ClientFront::ArmSweep() {
-  sweep_.expires_after(kSweepEvery);
-  sweep_.async_wait([this](std::error_code error) {
-    if (error) return;
+  sweep_.In(kSweepEvery, [this] {
     Sweep();
     ArmSweep();
   });
@@ -766,7 +764,7 @@
   std::error_code ignored;
   acceptor_.close(ignored);
   accept_pause_.Off();
-  sweep_.cancel();
+  sweep_.Off();
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) Close(client);
 }
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -115,7 +115,7 @@
   FrontCounters counters_;
   asio::ip::tcp::acceptor acceptor_;
   Alarm accept_pause_;
-  asio::steady_timer sweep_;
+  Alarm sweep_;
   std::unordered_set<ClientPtr> clients_;
   std::unordered_map<RequestId, ClientPtr> asking_;
   std::unordered_set<std::string> open_ids_;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -7,7 +7,6 @@
 
 #include "src/log/log.hpp"
 #include "src/net/address.hpp"
-#include "src/net/alarm.hpp"
 #include "src/pg/answer.hpp"
 #include "src/pg/wire.hpp"
 
@@ -462,9 +461,7 @@
 
 void ServerPool::ArmSweep() {
   const auto rest = static_cast<Micros>((1 - kIdleShare) * static_cast<double>(options_.idle_close));
-  sweep_.expires_after(std::chrono::microseconds(std::clamp(rest / kSweepsInRest, kLeastSweep, kSweepEvery)));
-  sweep_.async_wait([this](std::error_code error) {
-    if (error) return;
+  sweep_.In(std::chrono::microseconds(std::clamp(rest / kSweepsInRest, kLeastSweep, kSweepEvery)), [this] {
     Sweep();
     ArmSweep();
   });
@@ -496,7 +493,7 @@
 }
 
 void ServerPool::Stop() {
-  sweep_.cancel();
+  sweep_.Off();
   for (auto& [server, site] : sites_) {
     for (const Link& link : std::vector<Link>(site.idle)) Close(link);
     for (const Link& link : std::vector<Link>(site.opening)) Close(link);
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/exchange/exchange.hpp"
+#include "src/net/alarm.hpp"
 #include "src/net/clock.hpp"
 
 namespace tulipyoke::net {
@@ -101,7 +102,7 @@
   Exchange& exchange_;
   PoolOptions options_;
   PoolCounters counters_;
-  asio::steady_timer sweep_;
+  Alarm sweep_;
   std::map<ServerId, Site> sites_;
   std::unordered_map<Ticket, Link> busy_;
   std::unordered_map<Ticket, ServerId> waiting_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -926,8 +926,8 @@
 
   void On(const TimerFired& e) {
     if (e.token == kHousekeeping) return Housekeep();
-    Request* r = FindRequest(e.token);
-    if (r && now >= r->deadline) GiveUp(*r);
+    // Its time is over: its client's, or, earlier, that of a router which is to end.
+    if (Request* r = FindRequest(e.token)) GiveUp(*r);
   }
   void Housekeep() {
     housekeeping_set = false;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -419,6 +419,27 @@
   EXPECT_EQ(b.exchange.counters().overdue, 0u);
 }
 
+// Guards against a request that is held as a stop ends and told that it failed, though it was never sent and
+// its client may ask elsewhere; and against one that may have run and is told that asking again is harmless.
+TEST(Exchange, APlannedEndRefusesWhatWasNeverSent) {
+  Bench b;
+  const RequestId out = b.Ask(kUnsafeWrite, 5 * kSecond);
+  ASSERT_EQ(b.attempts.size(), 1u);
+  b.exchange.Written(b.attempts[0].ticket);
+  ListedServer drains = Bench::Listed("p");
+  drains.state = ServerState::kDraining;
+  b.exchange.Heard(b.now, Listing{8, false, {drains}});
+  const RequestId held = b.Ask(kUnsafeWrite, 5 * kSecond);
+  EXPECT_EQ(b.attempts.size(), 1u);
+  b.exchange.EndBy(b.now + 700 * kMs);
+  b.Pass(701 * kMs);
+  ASSERT_EQ(b.answers[out].size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Failed>(b.answers[out][0]));
+  ASSERT_EQ(b.answers[held].size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Refused>(b.answers[held][0]));
+  EXPECT_EQ(b.exchange.counters().overdue, 0u);
+}
+
 // Guards against figures that count probes, or ends before or without their answer.
 TEST(Exchange, FiguresCountEndsByClassAndAttemptsWrittenWhole) {
   Bench b;
