Show that an old list at the start holds only until the first word of the watch

Crossing.AnOldListAtTheStartHoldsUntilTheFirstWordOnly passed three times and fails with the ForgetServer of NewsOf taken out. Nothing to mend.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -225,6 +225,21 @@
   EndedWithout(0, "statement");
 }
 
+// Guards against a start from an old list: what it knew holds only until the first word of the watch, also
+// for what waits for a connection by then.
+TEST_F(Crossing, AnOldListAtTheStartHoldsUntilTheFirstWordOnly) {
+  HeldServer other;
+  rig.Know({Rig::Listed("a", server.port())});
+  const RequestId id = rig.Ask("statement");
+  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  const ListedServer drains = Rig::Listed("a", server.port(), ServerState::kDraining);
+  rig.exchange.Heard(rig.clock.Now(), Listing{9, true, {drains, Rig::Listed("b", other.port())}});
+  rig.Carry();
+  server.Greet(0);  // late
+  ServeOn(other, 0, "statement", id);
+  EndedWithout(0, "statement");
+}
+
 // Guards against a statement that goes to where its server no longer is.
 TEST_F(Crossing, WhatWaitsForAConnectionWhenTheAddressMovesGoesToTheNewOne) {
   HeldServer moved;
