Test the time to return that the front tells, and let two tests of lists share one body

ClientFront.TellsWhenToReturnAsTheSettingsAllow fails with the look at retry_after taken out. The two tests of a whole list that comes as a statement waits differ in the list alone. No change of the router; 336 tests passed (ctest, six at once).

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "src/net/front.hpp"
 #include "tests/rig.hpp"
@@ -43,6 +44,17 @@
     EXPECT_TRUE(rig.Until([&] { return server.Drain(which); }));
     EXPECT_EQ(server.got[which].find(statement), std::string::npos);
   }
+  // A statement waits for its connection as that whole list comes; it is served by the other server alone.
+  void GoesElsewhereOn(const std::vector<ListedServer>& list, HeldServer& other) {
+    rig.Know({Rig::Listed("a", server.port())});
+    const RequestId id = rig.Ask("statement");
+    ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+    rig.exchange.Heard(rig.clock.Now(), Listing{9, true, list});
+    rig.Carry();
+    server.Greet(0);  // late
+    ServeOn(other, 0, "statement", id);
+    EndedWithout(0, "statement");
+  }
 
   HeldServer server;
   Rig rig;
@@ -212,32 +224,18 @@
   EXPECT_TRUE(rig.Until([&] { return rig.outcomes(Status::kOk) == 2; }));
 }
 
-// Guards against the same where the server is in a whole list no more.
+// Guards against a send to a server that is in a whole list no more: its connection comes up all the same.
 TEST_F(Crossing, WhatWaitsForAConnectionWhenItsServerLeavesTheListGoesElsewhere) {
   HeldServer other;
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId id = rig.Ask("statement");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  rig.exchange.Heard(rig.clock.Now(), Listing{9, true, {Rig::Listed("b", other.port())}});
-  rig.Carry();
-  server.Greet(0);  // late
-  ServeOn(other, 0, "statement", id);
-  EndedWithout(0, "statement");
+  GoesElsewhereOn({Rig::Listed("b", other.port())}, other);
 }
 
 // Guards against a start from an old list: what it knew holds only until the first word of the watch, also
 // for what waits for a connection by then.
 TEST_F(Crossing, AnOldListAtTheStartHoldsUntilTheFirstWordOnly) {
   HeldServer other;
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId id = rig.Ask("statement");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  const ListedServer drains = Rig::Listed("a", server.port(), ServerState::kDraining);
-  rig.exchange.Heard(rig.clock.Now(), Listing{9, true, {drains, Rig::Listed("b", other.port())}});
-  rig.Carry();
-  server.Greet(0);  // late
-  ServeOn(other, 0, "statement", id);
-  EndedWithout(0, "statement");
+  GoesElsewhereOn({Rig::Listed("a", server.port(), ServerState::kDraining), Rig::Listed("b", other.port())},
+                  other);
 }
 
 // Guards against a statement that goes to where its server no longer is.
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -704,6 +704,44 @@
   front.Stop();
 }
 
+// Guards against a time to return that clients do not heed, or are not to be given: what the front refuses by
+// itself is told as the module tells it.
+TEST(ClientFront, TellsWhenToReturnAsTheSettingsAllow) {
+  for (const bool told : {true, false}) {
+    for (const bool out_of_service : {true, false}) {
+      asio::io_context io;
+      LoopClock clock;
+      Settings settings;
+      settings.classes.resize(1);
+      settings.classes[0].name = "any";
+      settings.classes[0].aim = settings.classes[0].deadline = 100'000;
+      settings.retry_after = told;
+      settings.max_retry_after = 500'000;
+      Exchange exchange({settings, 1, {}, {}, 1'000'000});
+      Service service;
+      service.Start();
+      if (out_of_service) service.TakeOut(0);  // long ago
+      ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 0, 100, 1 << 20}});
+      front.StartAccepting();
+      tcp::socket socket(io);
+      socket.connect(Loopback(front.port()));
+      Peer client(std::move(socket), false);
+      std::string hello;
+      pg::AppendStartup(hello, "api", "ledger");
+      client.Write(hello + Ask("1"));
+      while (exchange.FiguresAt(clock.Now()).classes[0].second.dropped == 0) io.run_one();
+      client.UntilReady();
+      const std::string error = client.UntilReady()[0].second;
+      EXPECT_EQ(pg::ParseError(error).code, out_of_service ? "57P03" : "53300");
+      const std::size_t at = error.find(std::string("\0D", 2));
+      EXPECT_EQ(at != std::string::npos, told);
+      const std::string told_ms = told ? error.c_str() + at + 2 : "";
+      EXPECT_EQ(told_ms, !told ? "" : out_of_service ? "20" : "500");
+      front.Stop();
+    }
+  }
+}
+
 // Guards against a list lost between chunks: lines come out whole, however the answer is cut.
 TEST(WatchParser, RandomCutsGiveTheSameLines) {
   const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
