--- a/tests/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -7,27 +7,12 @@
 
 #include "adapter/instances.hpp"
 #include "adapter/settings_parser.hpp"
+#include "tests/adapter/hex.hpp"
 
 namespace tulipyoke::wire {
 namespace {
 
-std::string Hex(std::string_view hex) {
-  std::string out;
-  std::string digits;
-  for (const char c : hex) {
-    if (c == ' ') continue;
-    digits.push_back(c);
-    if (digits.size() < 2) continue;
-    out.push_back(static_cast<char>(std::stoi(digits, nullptr, 16)));
-    digits.clear();
-  }
-  return out;
-}
-std::string Event48(std::string_view hex) {
-  std::string out = Hex(hex);
-  out.resize(kEventSize, '\0');
-  return out;
-}
+std::string Event48(std::string_view hex) { return PadRecord(FromHex(hex), kEventSize); }
 Record ParseOne(std::string_view hex, std::string tail = "") {
   const std::string body = Event48(hex) + tail;
   static std::string kept;
@@ -48,7 +33,7 @@
 }
 
 TEST(Codec, BatchHeaderIsBigEndian) {
-  const BatchHeader h = ParseBatchHeader(Hex("0000000c 0000000000805c5a 00000090 00000003"));
+  const BatchHeader h = ParseBatchHeader(FromHex("0000000c 0000000000805c5a 00000090 00000003"));
   EXPECT_EQ(h.number, 12u);
   EXPECT_EQ(h.now, 0x805c5au);
   EXPECT_EQ(h.body_size, 0x90u);
@@ -116,9 +101,9 @@
 }
 
 TEST(Codec, ListEntries) {
-  const std::string tail =
-      Hex("3f800000 0000 01 03124a07 000b 0000000000000000 3f800000 00"
-          "3fc00000 0001 02 2c9011f2 000c 00000000005d1420 00000000 03");
+  const std::string tail = FromHex(
+      "3f800000 0000 01 03124a07 000b 0000000000000000 3f800000 00"
+      "3fc00000 0001 02 2c9011f2 000c 00000000005d1420 00000000 03");
   const Record r = ParseOne("0410 00000004 00000000 00000002", tail);
   const auto& list = std::get<ListDefined>(r.payload);
   EXPECT_EQ(list.bank, 4u);
@@ -136,9 +121,9 @@
 
 TEST(Codec, MalformedBytesAreNamed) {
   EXPECT_THROW(ParseBatchHeader("short"), FormatError);
-  EXPECT_THROW(ParseBatchHeader(Hex("0000000c 0000000000805c5a 0000002f 00000001")), FormatError);
-  EXPECT_THROW(ParseBatchHeader(Hex("0000000c 0000000000805c5a ffffffff 00000001")), FormatError);
-  EXPECT_THROW(ParseBatchHeader(Hex("0000000c ffffffffffffffff 00000000 00000000")), FormatError);
+  EXPECT_THROW(ParseBatchHeader(FromHex("0000000c 0000000000805c5a 0000002f 00000001")), FormatError);
+  EXPECT_THROW(ParseBatchHeader(FromHex("0000000c 0000000000805c5a ffffffff 00000001")), FormatError);
+  EXPECT_THROW(ParseBatchHeader(FromHex("0000000c ffffffffffffffff 00000000 00000000")), FormatError);
   EXPECT_THROW(ParseOne("ffff 0003"), FormatError);                                              // event code
   EXPECT_THROW(ParseOne("0410 00000010 00000000 00000000"), FormatError);                        // bank
   EXPECT_THROW(ParseOne("0410 00000000 00000001 00000001", std::string(26, 'x')), FormatError);  // tail
@@ -155,29 +140,29 @@
   const std::string reply = EncodeReply(12, {{3, Action(Send{0x1af0f5d3a91c4, 0x03124a07, 0x13880})},
                                              {3, Action(SetTimer{500000, 0x4d})},
                                              {5, Action(Log{"two servers known"})}});
-  EXPECT_EQ(reply, Hex("0000000c 00000059 00000003"
-                       "03e8 0003 0001af0f5d3a91c4 03124a07 00013880 00000000"
-                       "0410 0003 0007a120 000000000000004d 0000000000000000"
-                       "0438 0005 00000000 00000011 000000000000000000000000") +
+  EXPECT_EQ(reply, FromHex("0000000c 00000059 00000003"
+                           "03e8 0003 0001af0f5d3a91c4 03124a07 00013880 00000000"
+                           "0410 0003 0007a120 000000000000004d 0000000000000000"
+                           "0438 0005 00000000 00000011 000000000000000000000000") +
                        "two servers known");
   const auto one = [](Action action) {
     return EncodeReply(1, {{3, std::move(action)}}).substr(kReplyHeaderSize);
   };
   EXPECT_EQ(one(Refuse{0xebd970e6f2b19, 250000}),
-            Hex("03f2 0003 000ebd970e6f2b19 0003d090 0000000000000000"));
-  EXPECT_EQ(one(Fail{0xebd970e6f2b19}), Hex("03fc 0003 000ebd970e6f2b19 000000000000000000000000"));
-  EXPECT_EQ(one(Cancel{1, 2}), Hex("0406 0003 0000000000000001 02 0000000000000000000000"));
-  EXPECT_EQ(one(Probe{7}), Hex("041a 0003 00000007 00000000000000000000000000000000"));
-  EXPECT_EQ(one(CloseIdle{7}), Hex("0424 0003 00000007 00000000000000000000000000000000"));
-  EXPECT_EQ(one(WatchList{true}), Hex("044c 0003 01 00000000000000000000000000000000000000"));
-  EXPECT_EQ(one(FetchList{}), Hex("0456 0003 0000000000000000000000000000000000000000"));
+            FromHex("03f2 0003 000ebd970e6f2b19 0003d090 0000000000000000"));
+  EXPECT_EQ(one(Fail{0xebd970e6f2b19}), FromHex("03fc 0003 000ebd970e6f2b19 000000000000000000000000"));
+  EXPECT_EQ(one(Cancel{1, 2}), FromHex("0406 0003 0000000000000001 02 0000000000000000000000"));
+  EXPECT_EQ(one(Probe{7}), FromHex("041a 0003 00000007 00000000000000000000000000000000"));
+  EXPECT_EQ(one(CloseIdle{7}), FromHex("0424 0003 00000007 00000000000000000000000000000000"));
+  EXPECT_EQ(one(WatchList{true}), FromHex("044c 0003 01 00000000000000000000000000000000000000"));
+  EXPECT_EQ(one(FetchList{}), FromHex("0456 0003 0000000000000000000000000000000000000000"));
   EXPECT_EQ(one(TellPeers{{}, "hi 7"}),
-            Hex("042e 0003 ffffffff 00000000 00000004 0000000000000000") + "hi 7");
+            FromHex("042e 0003 ffffffff 00000000 00000004 0000000000000000") + "hi 7");
   EXPECT_EQ(EncodeReply(1, {{3, InstanceBroken{"x"}}}).substr(kReplyHeaderSize),
-            Hex("0442 0003 00000000 00000001 000000000000000000000000") + "x");
+            FromHex("0442 0003 00000000 00000001 000000000000000000000000") + "x");
   // A time that does not fit is cut, a negative one is none left.
-  EXPECT_EQ(one(SetTimer{Micros{1} << 40, 0}).substr(4, 4), Hex("ffffffff"));
-  EXPECT_EQ(one(SetTimer{-5, 0}).substr(4, 4), Hex("00000000"));
+  EXPECT_EQ(one(SetTimer{Micros{1} << 40, 0}).substr(4, 4), FromHex("ffffffff"));
+  EXPECT_EQ(one(SetTimer{-5, 0}).substr(4, 4), FromHex("00000000"));
 }
 
 TEST(SettingsParser, ReadsWhatItKnowsAndSkipsTheRest) {
@@ -214,23 +199,23 @@
   EXPECT_THROW(ParseSettings("no equals\n"), FormatError);
 }
 
-TEST(Instances, EmptyBatch) { EXPECT_EQ(Batch({}), Hex("00000001 00000000 00000000")); }
+TEST(Instances, EmptyBatch) { EXPECT_EQ(Batch({}), FromHex("00000001 00000000 00000000")); }
 
 TEST(Instances, RestartInOneBatchForgetsAndUsesTheNewestBank) {
   const std::string options =
       "services.count=1\nservices.0.aim=300000\nservices.0.deadline=750000\nquantum=1000\n";
-  const std::string old_entry = Hex("3f800000 0000 01 00000007 0000 0000000000000000 00000000 00");
-  const std::string new_entry = Hex("3f800000 0000 01 00000008 0000 0000000000000000 00000000 00");
-  const std::string size = Hex("000000") + static_cast<char>(options.size());
+  const std::string old_entry = FromHex("3f800000 0000 01 00000007 0000 0000000000000000 00000000 00");
+  const std::string new_entry = FromHex("3f800000 0000 01 00000008 0000 0000000000000000 00000000 00");
+  const std::string size = FromHex("000000") + static_cast<char>(options.size());
   const auto init = [&] {
-    std::string r = Hex("03fc 0003 0000000000000007 00000000") + size;
+    std::string r = FromHex("03fc 0003 0000000000000007 00000000") + size;
     r.resize(kEventSize, '\0');
     return r;
   };
-  const std::string at = Hex("000000") + static_cast<char>(options.size());
-  const std::string at_new = Hex("000000") + static_cast<char>(options.size() + kEntrySize);
+  const std::string at = FromHex("000000") + static_cast<char>(options.size());
+  const std::string at_new = FromHex("000000") + static_cast<char>(options.size() + kEntrySize);
   const auto bank = [&](const std::string& offset) {
-    std::string r = Hex("0410 00000000") + offset + Hex("00000001");
+    std::string r = FromHex("0410 00000000") + offset + FromHex("00000001");
     r.resize(kEventSize, '\0');
     return r;
   };
@@ -240,12 +225,12 @@
       Batch({init(), bank(at), fleet, ask, Event48("0438 0003"), init(), bank(at_new), fleet, ask},
             options + old_entry + new_entry);
   // Nothing of the stopped instance is in the reply, and the request goes to the new list's server.
-  EXPECT_EQ(reply.find(Hex("03e8 0003 0000000000000005 00000007")), std::string::npos);
-  EXPECT_NE(reply.find(Hex("03e8 0003 0000000000000005 00000008")), std::string::npos);
+  EXPECT_EQ(reply.find(FromHex("03e8 0003 0000000000000005 00000007")), std::string::npos);
+  EXPECT_NE(reply.find(FromHex("03e8 0003 0000000000000005 00000008")), std::string::npos);
 }
 
 TEST(Instances, EventsOfAStoppedInstanceAreDropped) {
-  EXPECT_EQ(Batch({Event48("042e 0003 000000000000004d")}), Hex("00000001 00000000 00000000"));
+  EXPECT_EQ(Batch({Event48("042e 0003 000000000000004d")}), FromHex("00000001 00000000 00000000"));
 }
 
 }  // namespace
