--- /dev/null
+++ b/adapter/reply_encoder.cpp
@@ -0,0 +1,129 @@
+#include "adapter/reply_encoder.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <limits>
+#include <string_view>
+
+#include "adapter/big_endian.hpp"
+#include "adapter/wire_format.hpp"
+
+namespace tulipyoke::wire {
+namespace {
+
+std::uint32_t DurationField(Micros duration) {
+  return static_cast<std::uint32_t>(
+      std::clamp<Micros>(duration, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+// Collects action records and the tail that they refer to.
+class ActionWriter {
+ public:
+  void Write(const InstanceAction& action) {
+    const std::size_t start = records_.size();
+    instance_ = action.instance;
+    std::visit([this](const auto& alternative) { Put(alternative); }, action.action);
+    records_.resize(start + kActionSize, '\0');
+  }
+
+  const std::string& records() const { return records_; }
+  const std::string& tail() const { return tail_; }
+
+ private:
+  void Put(const Action& action) {
+    std::visit([this](const auto& alternative) { Put(alternative); }, action);
+  }
+
+  void Put(const Send& action) {
+    BeginRecord(ActionCode::kSend);
+    AppendBigEndian(records_, action.id);
+    AppendBigEndian(records_, action.server);
+    AppendBigEndian(records_, DurationField(action.timeout));
+  }
+
+  void Put(const Refuse& action) {
+    BeginRecord(ActionCode::kRefuse);
+    AppendBigEndian(records_, action.id);
+    AppendBigEndian(records_, DurationField(action.retry_after));
+  }
+
+  void Put(const Fail& action) {
+    BeginRecord(ActionCode::kFail);
+    AppendBigEndian(records_, action.id);
+  }
+
+  void Put(const Cancel& action) {
+    BeginRecord(ActionCode::kCancel);
+    AppendBigEndian(records_, action.id);
+    AppendBigEndian(records_, static_cast<std::uint8_t>(action.attempt));
+  }
+
+  void Put(const SetTimer& action) {
+    BeginRecord(ActionCode::kSetTimer);
+    AppendBigEndian(records_, DurationField(action.delay));
+    AppendBigEndian(records_, action.token);
+  }
+
+  void Put(const Probe& action) {
+    BeginRecord(ActionCode::kProbe);
+    AppendBigEndian(records_, action.server);
+  }
+
+  void Put(const CloseIdle& action) {
+    BeginRecord(ActionCode::kCloseIdle);
+    AppendBigEndian(records_, action.server);
+  }
+
+  void Put(const TellPeers& action) {
+    BeginRecord(ActionCode::kTellPeers);
+    AppendBigEndian(records_, action.peer ? static_cast<std::uint32_t>(*action.peer) : kAllPeers);
+    AppendText(action.bytes);
+  }
+
+  void Put(const Log& action) {
+    BeginRecord(ActionCode::kLog);
+    AppendText(action.text);
+  }
+
+  void Put(const WatchList& action) {
+    BeginRecord(ActionCode::kWatchList);
+    AppendBigEndian(records_, static_cast<std::uint8_t>(action.on ? 1 : 0));
+  }
+
+  void Put(const FetchList&) { BeginRecord(ActionCode::kFetchList); }
+
+  void Put(const InstanceFailed& action) {
+    BeginRecord(ActionCode::kInstanceFailed);
+    AppendText(action.reason);
+  }
+
+  void BeginRecord(ActionCode code) {
+    AppendBigEndian(records_, static_cast<std::uint16_t>(code));
+    AppendBigEndian(records_, instance_);
+  }
+
+  // Text goes to the tail; its offset and size to the record.
+  void AppendText(std::string_view text) {
+    AppendBigEndian(records_, static_cast<std::uint32_t>(tail_.size()));
+    AppendBigEndian(records_, static_cast<std::uint32_t>(text.size()));
+    tail_ += text;
+  }
+
+  std::uint16_t instance_ = 0;  // of the record that is being written
+  std::string records_;
+  std::string tail_;
+};
+
+}  // namespace
+
+std::string EncodeReply(std::uint32_t number, const std::vector<InstanceAction>& actions) {
+  ActionWriter writer;
+  for (const InstanceAction& action : actions) writer.Write(action);
+  std::string reply;
+  AppendBigEndian(reply, number);
+  AppendBigEndian(reply, static_cast<std::uint32_t>(writer.records().size() + writer.tail().size()));
+  AppendBigEndian(reply, static_cast<std::uint32_t>(actions.size()));
+  return reply + writer.records() + writer.tail();
+}
+
+}  // namespace tulipyoke::wire
--- /dev/null
+++ b/adapter/reply_encoder.hpp
@@ -0,0 +1,30 @@
+// Encodes the actions of router instances as a reply of the simulator's wire.
+#ifndef TULIPYOKE_ADAPTER_REPLY_ENCODER_HPP_
+#define TULIPYOKE_ADAPTER_REPLY_ENCODER_HPP_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tulipyoke/router.hpp"
+
+namespace tulipyoke::wire {
+
+// An instance threw an exception while it handled an event.
+struct InstanceFailed {
+  std::string reason;
+};
+
+struct InstanceAction {
+  std::uint16_t instance = 0;
+  std::variant<Action, InstanceFailed> action;
+};
+
+// Returns the bytes of the reply to batch `number`. Durations are limited to what 32 bits of microseconds
+// hold.
+std::string EncodeReply(std::uint32_t number, const std::vector<InstanceAction>& actions);
+
+}  // namespace tulipyoke::wire
+
+#endif  // TULIPYOKE_ADAPTER_REPLY_ENCODER_HPP_
--- a/adapter/settings_parser.cpp
+++ b/adapter/settings_parser.cpp
@@ -1,28 +1,38 @@
 #include "adapter/settings_parser.hpp"
 
+#include <cstddef>
 #include <string>
 
-#include "adapter/codec.hpp"
 #include "src/config/settings.hpp"
 
 namespace tulipyoke::wire {
+namespace {
 
-Settings ParseSettings(std::string_view text) {
+// Removes the first line from `text` and returns it without its newline.
+std::string_view TakeLine(std::string_view& text) {
+  const std::size_t end = text.find('\n');
+  const std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  return line;
+}
+
+}  // namespace
+
+Decoded<Settings> ParseSettings(std::string_view text) {
   SettingsTable table;
   while (!text.empty()) {
-    const std::size_t end = text.find('\n');
-    const std::string_view line = text.substr(0, end);
-    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-    const std::size_t equals = line.find('=');
+    const std::string_view line = TakeLine(text);
     if (line.empty()) continue;
-    if (equals == std::string_view::npos)
-      throw FormatError("a settings line has no '=': " + std::string(line));
+    const std::size_t equals = line.find('=');
+    if (equals == std::string_view::npos) {
+      return FormatError{FormatErrorCode::kSettingsLineInvalid, 0, std::string(line)};
+    }
     table.insert_or_assign(std::string(line.substr(0, equals)), std::string(line.substr(equals + 1)));
   }
   try {
     return SettingsFrom(table);
   } catch (const SettingsError& error) {
-    throw FormatError(error.what());
+    return FormatError{FormatErrorCode::kSettingsInvalid, 0, error.what()};
   }
 }
 
--- a/adapter/settings_parser.hpp
+++ b/adapter/settings_parser.hpp
@@ -1,15 +1,16 @@
-// The path=value lines of the wire's Init to Settings.
+// Parses the settings of a router instance from the `path=value` lines of the simulator's wire.
 #ifndef TULIPYOKE_ADAPTER_SETTINGS_PARSER_HPP_
 #define TULIPYOKE_ADAPTER_SETTINGS_PARSER_HPP_
 
 #include <string_view>
 
+#include "adapter/format_error.hpp"
 #include "tulipyoke/router.hpp"
 
 namespace tulipyoke::wire {
 
-// Unknown paths are skipped; a value that its path cannot have throws FormatError.
-Settings ParseSettings(std::string_view text);
+// Ignores unknown paths and empty lines; of a path that occurs twice the last line counts.
+Decoded<Settings> ParseSettings(std::string_view text);
 
 }  // namespace tulipyoke::wire
 
--- /dev/null
+++ b/adapter/wire_format.hpp
@@ -0,0 +1,62 @@
+// Sizes and numbers of the simulator's wire format. All integers are big-endian.
+//
+// A batch is a header of kBatchHeaderSize bytes and a body: event records of kEventSize bytes each, then a
+// tail that records refer to by offset and length. The reply is a header of kReplyHeaderSize bytes and a body
+// of the same shape with action records of kActionSize bytes.
+#ifndef TULIPYOKE_ADAPTER_WIRE_FORMAT_HPP_
+#define TULIPYOKE_ADAPTER_WIRE_FORMAT_HPP_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace tulipyoke::wire {
+
+// Sizes in bytes.
+inline constexpr std::size_t kBatchHeaderSize = 20;
+inline constexpr std::size_t kReplyHeaderSize = 12;
+inline constexpr std::size_t kEventSize = 48;
+inline constexpr std::size_t kActionSize = 24;
+inline constexpr std::size_t kListEntrySize = 26;
+inline constexpr std::size_t kMaxBodySize = std::size_t{1} << 28;
+
+// Numbered lists of servers that a batch can define and refer to later.
+inline constexpr std::uint32_t kListSlots = 16;
+// Values that a load report has at most.
+inline constexpr std::size_t kMaxReportValues = 4;
+// The peer number that means every peer.
+inline constexpr std::uint32_t kAllPeers = 0xffffffff;
+// The bit of a request's flags that marks a repetition by the client.
+inline constexpr std::uint16_t kRepeatFlag = 2;
+
+enum class EventCode : std::uint16_t {
+  kPeerMessage = 1000,
+  kRequestArrived = 1010,
+  kInstanceStarted = 1020,
+  kListAnnounced = 1030,
+  kListDefined = 1040,
+  kProbeEnded = 1050,
+  kAnswerBegun = 1060,
+  kTimerFired = 1070,
+  kInstanceStopped = 1080,
+  kRequestGone = 1090,
+  kAttemptEnded = 1100,
+};
+
+enum class ActionCode : std::uint16_t {
+  kSend = 1000,
+  kRefuse = 1010,
+  kFail = 1020,
+  kCancel = 1030,
+  kSetTimer = 1040,
+  kProbe = 1050,
+  kCloseIdle = 1060,
+  kTellPeers = 1070,
+  kLog = 1080,
+  kInstanceFailed = 1090,
+  kWatchList = 1100,
+  kFetchList = 1110,
+};
+
+}  // namespace tulipyoke::wire
+
+#endif  // TULIPYOKE_ADAPTER_WIRE_FORMAT_HPP_
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -1,24 +1,52 @@
-#include "adapter/codec.hpp"
-
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
 #include <vector>
 
-#include "adapter/instances.hpp"
+#include "adapter/batch_decoder.hpp"
+#include "adapter/format_error.hpp"
+#include "adapter/reply_encoder.hpp"
+#include "adapter/router_instances.hpp"
 #include "adapter/settings_parser.hpp"
+#include "adapter/wire_format.hpp"
 #include "tests/adapter/hex.hpp"
 
 namespace tulipyoke::wire {
 namespace {
 
 std::string Event48(std::string_view hex) { return PadRecord(FromHex(hex), kEventSize); }
-Record ParseOne(std::string_view hex, std::string tail = "") {
-  const std::string body = Event48(hex) + tail;
-  static std::string kept;
-  kept = body;
-  return ParseRecord({1, 0, static_cast<std::uint32_t>(kept.size()), 1}, kept, 0);
+
+// Decodes a batch of one record. Views in the result point into a buffer that the next call overwrites.
+Decoded<Record> TryParseOne(std::string_view hex, const std::string& tail = "") {
+  static std::string body;
+  body = Event48(hex) + tail;
+  return DecodeRecord({1, 0, static_cast<std::uint32_t>(body.size()), 1}, body, 0);
+}
+
+Record ParseOne(std::string_view hex, const std::string& tail = "") {
+  return std::get<Record>(TryParseOne(hex, tail));
+}
+
+template <typename Value>
+std::optional<FormatErrorCode> ErrorOf(const Decoded<Value>& decoded) {
+  const auto* error = std::get_if<FormatError>(&decoded);
+  return error ? std::optional(error->code) : std::nullopt;
 }
+
+std::optional<FormatErrorCode> ErrorOfRecord(std::string_view hex, const std::string& tail = "") {
+  return ErrorOf(TryParseOne(hex, tail));
+}
+
+std::optional<FormatErrorCode> ErrorOfHeader(std::string_view bytes) {
+  return ErrorOf(DecodeBatchHeader(bytes));
+}
+
+std::optional<FormatErrorCode> ErrorOfSettings(std::string_view text) { return ErrorOf(ParseSettings(text)); }
+
 template <typename T>
 T EventOf(const Record& record) {
   return std::get<T>(std::get<Event>(record.payload));
@@ -29,11 +57,12 @@
   body += tail;
   const BatchHeader header{1, 0, static_cast<std::uint32_t>(body.size()),
                            static_cast<std::uint32_t>(records.size())};
-  return Instances().HandleBatch(header, body);
+  return std::get<std::string>(RouterInstances().HandleBatch(header, body));
 }
 
 TEST(Codec, BatchHeaderIsBigEndian) {
-  const BatchHeader h = ParseBatchHeader(FromHex("0000000c 0000000000805c5a 00000090 00000003"));
+  const auto h =
+      std::get<BatchHeader>(DecodeBatchHeader(FromHex("0000000c 0000000000805c5a 00000090 00000003")));
   EXPECT_EQ(h.number, 12u);
   EXPECT_EQ(h.now, 0x805c5au);
   EXPECT_EQ(h.body_size, 0x90u);
@@ -87,7 +116,7 @@
   for (const auto& [code, status] : all) {
     EXPECT_EQ(EventOf<ProbeEnded>(ParseOne("041a 0003 2c9011f2 " + code + " 00000578 00")).status, status);
   }
-  EXPECT_THROW(ParseOne("041a 0003 2c9011f2 00c9 00000578 00"), FormatError);
+  EXPECT_EQ(ErrorOfRecord("041a 0003 2c9011f2 00c9 00000578 00"), FormatErrorCode::kUnknownOutcome);
 }
 
 TEST(Codec, SmallEvents) {
@@ -106,7 +135,7 @@
       "3fc00000 0001 02 2c9011f2 000c 00000000005d1420 00000000 03");
   const Record r = ParseOne("0410 00000004 00000000 00000002", tail);
   const auto& list = std::get<ListDefined>(r.payload);
-  EXPECT_EQ(list.bank, 4u);
+  EXPECT_EQ(list.slot, 4u);
   ASSERT_EQ(list.entries.size(), 2u);
   EXPECT_TRUE(list.entries[0].leads);
   EXPECT_EQ(list.entries[0].state, ServerState::kReady);
@@ -120,20 +149,25 @@
 }
 
 TEST(Codec, MalformedBytesAreNamed) {
-  EXPECT_THROW(ParseBatchHeader("short"), FormatError);
-  EXPECT_THROW(ParseBatchHeader(FromHex("0000000c 0000000000805c5a 0000002f 00000001")), FormatError);
-  EXPECT_THROW(ParseBatchHeader(FromHex("0000000c 0000000000805c5a ffffffff 00000001")), FormatError);
-  EXPECT_THROW(ParseBatchHeader(FromHex("0000000c ffffffffffffffff 00000000 00000000")), FormatError);
-  EXPECT_THROW(ParseOne("ffff 0003"), FormatError);                                              // event code
-  EXPECT_THROW(ParseOne("0410 00000010 00000000 00000000"), FormatError);                        // bank
-  EXPECT_THROW(ParseOne("0410 00000000 00000001 00000001", std::string(26, 'x')), FormatError);  // tail
-  EXPECT_THROW(ParseOne("0410 00000000 ffffffff ffffffff"), FormatError);
-  EXPECT_THROW(ParseOne("041a 0003 2c9011f2 00c8 00000578 05"), FormatError);     // report size
-  EXPECT_THROW(ParseOne("0406 0003 04 0000000000000029 00000000"), FormatError);  // list kind
-  EXPECT_THROW(ParseOne("044c 0003 0001af0f5d3a91c4 00000003 03124a07 00 00000000 00 00c8"), FormatError);
-  EXPECT_THROW(
-      ParseOne("03f2 0003 0001af0f5d3a91c4 0000 00000000 0000000000000000 0003a980 00002ee0 7fc00000"),
-      FormatError);  // group
+  EXPECT_EQ(ErrorOfHeader("short"), FormatErrorCode::kHeaderTruncated);
+  EXPECT_EQ(ErrorOfHeader(FromHex("0000000c 0000000000805c5a 0000002f 00000001")),
+            FormatErrorCode::kBatchTooSmall);
+  EXPECT_EQ(ErrorOfHeader(FromHex("0000000c 0000000000805c5a ffffffff 00000001")),
+            FormatErrorCode::kBatchTooLarge);
+  EXPECT_EQ(ErrorOfHeader(FromHex("0000000c ffffffffffffffff 00000000 00000000")),
+            FormatErrorCode::kClockOutOfRange);
+  EXPECT_EQ(ErrorOfRecord("ffff 0003"), FormatErrorCode::kUnknownEventCode);
+  EXPECT_EQ(ErrorOfRecord("0410 00000010 00000000 00000000"), FormatErrorCode::kUnknownListSlot);
+  EXPECT_EQ(ErrorOfRecord("0410 00000000 00000001 00000001", std::string(26, 'x')),
+            FormatErrorCode::kFieldOutsideTail);
+  EXPECT_EQ(ErrorOfRecord("0410 00000000 ffffffff ffffffff"), FormatErrorCode::kFieldOutsideTail);
+  EXPECT_EQ(ErrorOfRecord("041a 0003 2c9011f2 00c8 00000578 05"), FormatErrorCode::kReportTooLong);
+  EXPECT_EQ(ErrorOfRecord("0406 0003 04 0000000000000029 00000000"), FormatErrorCode::kUnknownListKind);
+  EXPECT_EQ(ErrorOfRecord("044c 0003 0001af0f5d3a91c4 00000003 03124a07 00 00000000 00 00c8"),
+            FormatErrorCode::kUnknownRole);
+  EXPECT_EQ(
+      ErrorOfRecord("03f2 0003 0001af0f5d3a91c4 0000 00000000 0000000000000000 0003a980 00002ee0 7fc00000"),
+      FormatErrorCode::kImpossibleGroup);
 }
 
 TEST(Codec, ActionBytes) {
@@ -158,7 +192,7 @@
   EXPECT_EQ(one(FetchList{}), FromHex("0456 0003 0000000000000000000000000000000000000000"));
   EXPECT_EQ(one(TellPeers{{}, "hi 7"}),
             FromHex("042e 0003 ffffffff 00000000 00000004 0000000000000000") + "hi 7");
-  EXPECT_EQ(EncodeReply(1, {{3, InstanceBroken{"x"}}}).substr(kReplyHeaderSize),
+  EXPECT_EQ(EncodeReply(1, {{3, InstanceFailed{"x"}}}).substr(kReplyHeaderSize),
             FromHex("0442 0003 00000000 00000001 000000000000000000000000") + "x");
   // A time that does not fit is cut, a negative one is none left.
   EXPECT_EQ(one(SetTimer{Micros{1} << 40, 0}).substr(4, 4), FromHex("ffffffff"));
@@ -166,13 +200,13 @@
 }
 
 TEST(SettingsParser, ReadsWhatItKnowsAndSkipsTheRest) {
-  const Settings s = ParseSettings(
+  const auto s = std::get<Settings>(ParseSettings(
       "services.count=2\nservices.0.aim=300000\nservices.0.semantics=guarded\nservices.0.group=cell\n"
       "services.0.window=2000000\nservices.1.deadline=5\ndomain.freshness=update,recent\n"
       "domain.lag_allowed=0,3000000\ndomain.guards=hold\ndomain.token_mode=client\ndomain.role_listed="
       "delayed\n"
       "discovery=ask\nstats.via=inline\nstats.fields=x0,x1\nrules.tip_multiple=2.5\nnew.key=7\nquantum=5000\n"
-      "realms.count=1\nrealms.0.quota_per_s=109.0\npolicy_limits.second_copies=true\n");
+      "realms.count=1\nrealms.0.quota_per_s=109.0\npolicy_limits.second_copies=true\n"));
   ASSERT_EQ(s.classes.size(), 2u);
   EXPECT_EQ(s.classes[0].effect, Effect::kKeyed);
   EXPECT_EQ(s.classes[0].repeat_group, RepeatGroup::kCell);
@@ -192,16 +226,16 @@
 }
 
 TEST(SettingsParser, NamesWhatCannotBe) {
-  EXPECT_THROW(ParseSettings("domain.guards=maybe\n"), FormatError);
-  EXPECT_THROW(ParseSettings("quantum=five\n"), FormatError);
-  EXPECT_THROW(ParseSettings("services.count=-1\n"), FormatError);
-  EXPECT_THROW(ParseSettings("services.count=1e9\n"), FormatError);
-  EXPECT_THROW(ParseSettings("no equals\n"), FormatError);
+  EXPECT_EQ(ErrorOfSettings("domain.guards=maybe\n"), FormatErrorCode::kSettingsInvalid);
+  EXPECT_EQ(ErrorOfSettings("quantum=five\n"), FormatErrorCode::kSettingsInvalid);
+  EXPECT_EQ(ErrorOfSettings("services.count=-1\n"), FormatErrorCode::kSettingsInvalid);
+  EXPECT_EQ(ErrorOfSettings("services.count=1e9\n"), FormatErrorCode::kSettingsInvalid);
+  EXPECT_EQ(ErrorOfSettings("no equals\n"), FormatErrorCode::kSettingsLineInvalid);
 }
 
-TEST(Instances, EmptyBatch) { EXPECT_EQ(Batch({}), FromHex("00000001 00000000 00000000")); }
+TEST(RouterInstances, EmptyBatch) { EXPECT_EQ(Batch({}), FromHex("00000001 00000000 00000000")); }
 
-TEST(Instances, RestartInOneBatchForgetsAndUsesTheNewestBank) {
+TEST(RouterInstances, RestartInOneBatchForgetsAndUsesTheNewestBank) {
   const std::string options =
       "services.count=1\nservices.0.aim=300000\nservices.0.deadline=750000\nquantum=1000\n";
   const std::string old_entry = FromHex("3f800000 0000 01 00000007 0000 0000000000000000 00000000 00");
@@ -213,7 +247,7 @@
     return r;
   };
   const std::string at = FromHex("000000") + static_cast<char>(options.size());
-  const std::string at_new = FromHex("000000") + static_cast<char>(options.size() + kEntrySize);
+  const std::string at_new = FromHex("000000") + static_cast<char>(options.size() + kListEntrySize);
   const auto bank = [&](const std::string& offset) {
     std::string r = FromHex("0410 00000000") + offset + FromHex("00000001");
     r.resize(kEventSize, '\0');
@@ -229,7 +263,7 @@
   EXPECT_NE(reply.find(FromHex("03e8 0003 0000000000000005 00000008")), std::string::npos);
 }
 
-TEST(Instances, EventsOfAStoppedInstanceAreDropped) {
+TEST(RouterInstances, EventsOfAStoppedInstanceAreDropped) {
   EXPECT_EQ(Batch({Event48("042e 0003 000000000000004d")}), FromHex("00000001 00000000 00000000"));
 }
 
--- a/tests/adapter/golden_bytes_test.cpp
+++ b/tests/adapter/golden_bytes_test.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 
 #include <cstdint>
-#include <optional>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -11,8 +10,10 @@
 #include <variant>
 #include <vector>
 
-#include "adapter/codec.hpp"
-#include "adapter/instances.hpp"
+#include "adapter/batch_decoder.hpp"
+#include "adapter/reply_encoder.hpp"
+#include "adapter/router_instances.hpp"
+#include "adapter/wire_format.hpp"
 #include "tests/adapter/hex.hpp"
 
 namespace tulipyoke::wire {
@@ -34,7 +35,9 @@
   return word(number) + FromHex(clock_hex) + word(body.size()) + word(records.size()) + body;
 }
 
-BatchHeader HeaderOf(std::string_view batch) { return ParseBatchHeader(batch.substr(0, kBatchHeaderSize)); }
+BatchHeader HeaderOf(std::string_view batch) {
+  return std::get<BatchHeader>(DecodeBatchHeader(batch.substr(0, kBatchHeaderSize)));
+}
 
 // ---- Events as text: every field, so that one comparison covers the whole event. ----
 
@@ -54,7 +57,7 @@
   }
   std::string operator()(const InstanceStopped&) { return "stopped"; }
   std::string operator()(const ListDefined& event) {
-    text_ << "defined bank=" << event.bank;
+    text_ << "defined bank=" << event.slot;
     for (const ListEntry& entry : event.entries) {
       text_ << " {server=" << entry.server << " group=" << entry.group << " zone=" << entry.zone
             << " kind=" << entry.kind << " state=" << static_cast<int>(entry.state)
@@ -65,7 +68,7 @@
   }
   std::string operator()(const ListAnnounced& event) {
     text_ << "announced kind=" << static_cast<int>(event.kind) << " version=" << event.version
-          << " bank=" << event.bank;
+          << " bank=" << event.slot;
     return text_.str();
   }
   std::string operator()(const Event& event) { return std::visit(*this, event); }
@@ -119,7 +122,7 @@
   const std::string_view body = batch.substr(kBatchHeaderSize);
   std::vector<std::string> lines;
   for (std::uint32_t index = 0; index < header.records; ++index) {
-    const Record record = ParseRecord(header, body, index);
+    const auto record = std::get<Record>(DecodeRecord(header, body, index));
     lines.push_back(std::to_string(record.instance) + " " + std::visit(EventPrinter(), record.payload));
   }
   return lines;
@@ -204,7 +207,7 @@
 }
 
 TEST(GoldenBytes, EveryKindOfActionIsWritten) {
-  const std::vector<Reply> replies = {
+  const std::vector<InstanceAction> replies = {
       {3, Action(Send{0x1af0f5d3a91c4, 0x03124a07, 0x13880})},
       {3, Action(Refuse{0xebd970e6f2b19, 250000})},
       {3, Action(Fail{0xebd970e6f2b19})},
@@ -218,7 +221,7 @@
       {3, Action(WatchList{true})},
       {3, Action(WatchList{false})},
       {3, Action(FetchList{})},
-      {0xfffe, InstanceBroken{"it broke"}},
+      {0xfffe, InstanceFailed{"it broke"}},
   };
   EXPECT_EQ(ToHex(EncodeReply(12, replies)),
             ToHex(FromHex("0000000c 00000175 0000000e"
@@ -293,11 +296,11 @@
                  "??"),
       BatchBytes(4, "0000000000004e20", {EventRecord("042e 0003 0000000000000001"), EventRecord("0438 0003")},
                  "")};
-  Instances instances;
+  RouterInstances instances;
   std::vector<std::string> replies;
   for (const std::string& batch : batches) {
-    replies.push_back(
-        ToHex(instances.HandleBatch(HeaderOf(batch), std::string_view(batch).substr(kBatchHeaderSize))));
+    replies.push_back(ToHex(std::get<std::string>(
+        instances.HandleBatch(HeaderOf(batch), std::string_view(batch).substr(kBatchHeaderSize)))));
   }
   const std::vector<std::string> expected = {
       "000000010000001800000001"
