--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -4,6 +4,7 @@
 
 #include <stdexcept>
 #include <string>
+#include <variant>
 
 #include "adapter/settings_parser.hpp"
 #include "src/config/listing_json.hpp"
@@ -49,10 +50,10 @@
 // table.
 TEST(Config, JsonAndLinesGiveTheSameSettings) {
   const Settings json = ParseConfig(kConfig).settings;
-  const Settings lines = wire::ParseSettings(
+  const auto lines = std::get<Settings>(wire::ParseSettings(
       "services.count=1\nservices.0.name=map read\nservices.0.semantics=guarded\nservices.0.group=cell\n"
       "services.0.aim=300000\nservices.0.deadline=1200000\ndomain.freshness=recent\n"
-      "domain.lag_allowed=200000\npolicy_limits.probes=true\nstats.fields=x0,x1\n");
+      "domain.lag_allowed=200000\npolicy_limits.probes=true\nstats.fields=x0,x1\n"));
   EXPECT_EQ(json.classes[0].name, lines.classes[0].name);
   EXPECT_EQ(json.classes[0].bound, lines.classes[0].bound);
   EXPECT_EQ(json.classes[0].repeat_group, lines.classes[0].repeat_group);
