--- a/adapter/batch_decoder.cpp
+++ b/adapter/batch_decoder.cpp
@@ -106,15 +106,15 @@
         return DecodeListAnnounced();
       case EventCode::kListDefined:
         return DecodeListDefined();
-      case EventCode::kProbeEnded:
-        return Event(DecodeProbeEnded());
-      case EventCode::kAnswerBegun:
-        return Event(DecodeAnswerBegun());
+      case EventCode::kHealthCheckEnded:
+        return Event(DecodeHealthCheckEnded());
+      case EventCode::kResponseStarted:
+        return Event(DecodeResponseStarted());
       case EventCode::kTimerFired:
         return Event(TimerFired{record_.U64(4)});
       case EventCode::kInstanceStopped:
         return InstanceStopped{};
-      case EventCode::kRequestGone:
+      case EventCode::kRequestCancelled:
         return Event(RequestGone{record_.U64(4)});
       case EventCode::kAttemptEnded:
         return Event(DecodeAttemptEnded());
@@ -160,7 +160,7 @@
     return event;
   }
 
-  AnswerBegun DecodeAnswerBegun() const {
+  AnswerBegun DecodeResponseStarted() const {
     AnswerBegun event;
     event.id = record_.U64(4);
     event.server = record_.U32(12);
@@ -168,7 +168,7 @@
     return event;
   }
 
-  ProbeEnded DecodeProbeEnded() {
+  ProbeEnded DecodeHealthCheckEnded() {
     ProbeEnded event;
     event.server = record_.U32(4);
     event.status = DecodeStatus(8);
@@ -189,14 +189,14 @@
     ListDefined event;
     event.slot = record_.U32(2);
     if (event.slot >= kListSlots) Fail(FormatErrorCode::kUnknownListSlot, event.slot);
-    const std::string_view entries = TailBytes(6, kListEntrySize);
-    for (std::size_t offset = 0; offset < entries.size(); offset += kListEntrySize) {
-      event.entries.push_back(DecodeListEntry(entries.substr(offset, kListEntrySize)));
+    const std::string_view entries = TailBytes(6, kEndpointEntrySize);
+    for (std::size_t offset = 0; offset < entries.size(); offset += kEndpointEntrySize) {
+      event.entries.push_back(DecodeEndpointEntry(entries.substr(offset, kEndpointEntrySize)));
     }
     return event;
   }
 
-  ListEntry DecodeListEntry(std::string_view bytes) {
+  ListEntry DecodeEndpointEntry(std::string_view bytes) {
     const BigEndianReader entry(bytes);
     ListEntry result;
     result.capacity_hint = entry.F32(0);
--- a/adapter/reply_encoder.cpp
+++ b/adapter/reply_encoder.cpp
@@ -42,7 +42,7 @@
   }
 
   void Put(const Refuse& action) {
-    BeginRecord(ActionCode::kRefuse);
+    BeginRecord(ActionCode::kReject);
     AppendBigEndian(records_, action.id);
     AppendBigEndian(records_, DurationField(action.retry_after));
   }
@@ -65,7 +65,7 @@
   }
 
   void Put(const Probe& action) {
-    BeginRecord(ActionCode::kProbe);
+    BeginRecord(ActionCode::kCheckHealth);
     AppendBigEndian(records_, action.server);
   }
 
@@ -75,7 +75,7 @@
   }
 
   void Put(const TellPeers& action) {
-    BeginRecord(ActionCode::kTellPeers);
+    BeginRecord(ActionCode::kGossip);
     AppendBigEndian(records_, action.peer ? static_cast<std::uint32_t>(*action.peer) : kAllPeers);
     AppendText(action.bytes);
   }
@@ -86,11 +86,11 @@
   }
 
   void Put(const WatchList& action) {
-    BeginRecord(ActionCode::kWatchList);
+    BeginRecord(ActionCode::kWatchEndpointList);
     AppendBigEndian(records_, static_cast<std::uint8_t>(action.on ? 1 : 0));
   }
 
-  void Put(const FetchList&) { BeginRecord(ActionCode::kFetchList); }
+  void Put(const FetchList&) { BeginRecord(ActionCode::kFetchEndpointList); }
 
   void Put(const InstanceFailed& action) {
     BeginRecord(ActionCode::kInstanceFailed);
--- a/adapter/wire_format.hpp
+++ b/adapter/wire_format.hpp
@@ -16,7 +16,7 @@
 inline constexpr std::size_t kReplyHeaderSize = 12;
 inline constexpr std::size_t kEventSize = 48;
 inline constexpr std::size_t kActionSize = 24;
-inline constexpr std::size_t kListEntrySize = 26;
+inline constexpr std::size_t kEndpointEntrySize = 26;
 inline constexpr std::size_t kMaxBodySize = std::size_t{1} << 28;
 
 // Numbered lists of servers that a batch can define and refer to later.
@@ -34,27 +34,27 @@
   kInstanceStarted = 1020,
   kListAnnounced = 1030,
   kListDefined = 1040,
-  kProbeEnded = 1050,
-  kAnswerBegun = 1060,
+  kHealthCheckEnded = 1050,
+  kResponseStarted = 1060,
   kTimerFired = 1070,
   kInstanceStopped = 1080,
-  kRequestGone = 1090,
+  kRequestCancelled = 1090,
   kAttemptEnded = 1100,
 };
 
 enum class ActionCode : std::uint16_t {
   kSend = 1000,
-  kRefuse = 1010,
+  kReject = 1010,
   kFail = 1020,
   kCancel = 1030,
   kSetTimer = 1040,
-  kProbe = 1050,
+  kCheckHealth = 1050,
   kCloseIdle = 1060,
-  kTellPeers = 1070,
+  kGossip = 1070,
   kLog = 1080,
   kInstanceFailed = 1090,
-  kWatchList = 1100,
-  kFetchList = 1110,
+  kWatchEndpointList = 1100,
+  kFetchEndpointList = 1110,
 };
 
 }  // namespace tulipyoke::wire
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -247,7 +247,7 @@
     return r;
   };
   const std::string at = FromHex("000000") + static_cast<char>(options.size());
-  const std::string at_new = FromHex("000000") + static_cast<char>(options.size() + kListEntrySize);
+  const std::string at_new = FromHex("000000") + static_cast<char>(options.size() + kEndpointEntrySize);
   const auto bank = [&](const std::string& offset) {
     std::string r = FromHex("0410 00000000") + offset + FromHex("00000001");
     r.resize(kEventSize, '\0');
