--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -74,11 +74,11 @@
     case 200:
       return Status::kOk;
     case 204:
-      return Status::kMiss;
+      return Status::kStaleOrWrongRole;
     case 502:
       return Status::kError;
     case 429:
-      return Status::kFull;
+      return Status::kOverloaded;
     case 408:
       return Status::kTimeout;
     case 521:
@@ -88,7 +88,7 @@
     case 444:
       return Status::kCancelled;
     case 409:
-      return Status::kMoot;
+      return Status::kNotSent;
     default:
       throw FormatError("no outcome has the number " + std::to_string(code));
   }
@@ -114,9 +114,9 @@
   return tail.substr(offset, size);
 }
 
-ListEntry EntryOf(std::string_view bytes) {
+EndpointEntry EntryOf(std::string_view bytes) {
   const Reader entry(bytes);
-  ListEntry result;
+  EndpointEntry result;
   result.capacity_hint = entry.F32(0);
   result.zone = entry.U16(4);
   switch (entry.U8(6)) {
@@ -135,21 +135,21 @@
   result.server = entry.U32(7);
   result.group = entry.U16(11);
   result.boot_time = static_cast<Micros>(entry.U64(13));
-  result.leads = entry.F32(21) == 1.0F;
+  result.listed_primary = entry.F32(21) == 1.0F;
   result.kind = entry.U8(25);
   return result;
 }
 
-ListKind ListKindOf(std::uint8_t code) {
+EndpointListKind ListKindOf(std::uint8_t code) {
   switch (code) {
     case 0:
-      return ListKind::kDelta;
+      return EndpointListKind::kDelta;
     case 1:
-      return ListKind::kFull;
+      return EndpointListKind::kFull;
     case 2:
-      return ListKind::kCached;
+      return EndpointListKind::kCached;
     case 3:
-      return ListKind::kFailed;
+      return EndpointListKind::kFailed;
     default:
       throw FormatError("no list news is of kind " + std::to_string(code));
   }
@@ -173,7 +173,7 @@
   }
   if (stand / 4 != 0) event.position_ms = stand / 4;
   event.server = record.U32(16);
-  event.over = record.U8(20) != 0;
+  event.request_ended = record.U8(20) != 0;
   event.elapsed = record.U32(21);
   event.attempt = record.U8(25);
   event.status = StatusOf(record.U16(26));
@@ -193,8 +193,8 @@
     throw FormatError("a request names no possible group");
   }
   event.group = static_cast<int>(group);
-  event.wrote_ms_ago = record.F32(38);
-  event.repeat = (record.U16(42) & kRepeatBit) != 0;
+  event.ms_since_write = record.F32(38);
+  event.is_retry = (record.U16(42) & kRepeatBit) != 0;
   return event;
 }
 
@@ -234,7 +234,7 @@
     Append(records_, action.server);
     Append(records_, Clamp32(action.timeout));
   }
-  void Put(std::uint16_t instance, const Refuse& action) {
+  void Put(std::uint16_t instance, const Reject& action) {
     Begin(kReject, instance);
     Append(records_, action.id);
     Append(records_, Clamp32(action.retry_after));
@@ -253,7 +253,7 @@
     Append(records_, Clamp32(action.delay));
     Append(records_, action.token);
   }
-  void Put(std::uint16_t instance, const Probe& action) {
+  void Put(std::uint16_t instance, const CheckHealth& action) {
     Begin(kSample, instance);
     Append(records_, action.server);
   }
@@ -261,7 +261,7 @@
     Begin(kDisconnect, instance);
     Append(records_, action.server);
   }
-  void Put(std::uint16_t instance, const TellPeers& action) {
+  void Put(std::uint16_t instance, const Gossip& action) {
     Begin(kNotify, instance);
     Append(records_, action.peer ? static_cast<std::uint32_t>(*action.peer) : kEveryPeer);
     Text(action.bytes);
@@ -270,11 +270,11 @@
     Begin(kRecord, instance);
     Text(action.text);
   }
-  void Put(std::uint16_t instance, const WatchList& action) {
+  void Put(std::uint16_t instance, const WatchEndpointList& action) {
     Begin(kTail, instance);
     Append<std::uint8_t>(records_, action.on ? 1 : 0);
   }
-  void Put(std::uint16_t instance, const FetchList&) { Begin(kListAll, instance); }
+  void Put(std::uint16_t instance, const FetchEndpointList&) { Begin(kListAll, instance); }
 
   std::size_t start_ = 0;
 };
@@ -320,16 +320,16 @@
       return {0, std::move(list)};
     }
     case kProbed:
-      return {instance, Event(ProbeEnded{record.U32(4), StatusOf(record.U16(8)), record.U32(10),
-                                         ReportAt(record, 14)})};
+      return {instance, Event(HealthCheckEnded{record.U32(4), StatusOf(record.U16(8)), record.U32(10),
+                                               ReportAt(record, 14)})};
     case kAckFirst:
-      return {instance, Event(AnswerBegun{record.U64(4), record.U8(16), record.U32(12)})};
+      return {instance, Event(ResponseStarted{record.U64(4), record.U8(16), record.U32(12)})};
     case kAlarm:
       return {instance, Event(TimerFired{record.U64(4)})};
     case kDown:
       return {instance, InstanceStopped{}};
     case kAborted:
-      return {instance, Event(RequestGone{record.U64(4)})};
+      return {instance, Event(RequestCancelled{record.U64(4)})};
     case kResolved:
       return {instance, Event(AttemptEndedOf(record))};
     default:
--- a/adapter/codec.hpp
+++ b/adapter/codec.hpp
@@ -44,10 +44,10 @@
 struct InstanceStopped {};
 struct ListDefined {
   std::uint32_t bank = 0;
-  std::vector<ListEntry> entries;
+  std::vector<EndpointEntry> entries;
 };
 struct ListAnnounced {
-  ListKind kind = ListKind::kFull;
+  EndpointListKind kind = EndpointListKind::kFull;
   std::uint64_t version = 0;
   std::uint32_t bank = 0;
 };
--- a/adapter/instances.cpp
+++ b/adapter/instances.cpp
@@ -34,8 +34,8 @@
     } else if (auto* defined = std::get_if<ListDefined>(&record.payload)) {
       banks_[defined->bank] = std::move(defined->entries);
     } else if (const auto* list = std::get_if<ListAnnounced>(&record.payload)) {
-      ListNews news{list->kind, list->version, {}};
-      if (list->kind != ListKind::kFailed) {
+      EndpointListUpdate news{list->kind, list->version, {}};
+      if (list->kind != EndpointListKind::kFailed) {
         if (list->bank >= kListBanks)
           throw FormatError("no list has the number " + std::to_string(list->bank));
         news.entries = banks_[list->bank];
--- a/adapter/instances.hpp
+++ b/adapter/instances.hpp
@@ -22,7 +22,7 @@
   void Pass(Micros now, std::uint16_t instance, const Event& event, std::vector<Reply>& replies);
 
   std::map<std::uint16_t, Router> routers_;
-  std::array<std::vector<ListEntry>, kListBanks> banks_;
+  std::array<std::vector<EndpointEntry>, kListBanks> banks_;
 };
 
 }  // namespace tulipyoke::wire
--- a/checks/rules.cpp
+++ b/checks/rules.cpp
@@ -117,7 +117,7 @@
     const ClassRules& rules = RulesOf(request.asked.request_class);
     const bool may_have_run = std::any_of(request.attempts.begin(), request.attempts.end(),
                                           [](const Attempt& a) { return a.ran.value_or(true); });
-    if (ended.end == End::kRefused && rules.effect == Effect::kUnsafe && may_have_run) {
+    if (ended.end == End::kRefused && rules.effect == Idempotency::kNone && may_have_run) {
       Broken(Rule::kRepeat, when, ended.request, "refused as harmless though it may have run");
     }
     if (served && request.attempts.empty()) {
@@ -152,10 +152,11 @@
     const auto first = std::find_if(request.attempts.begin(), request.attempts.end(),
                                     [](const Attempt& a) { return a.ran.value_or(true); });
     if (first != request.attempts.end()) {
-      if (rules.effect == Effect::kUnsafe) {
+      if (rules.effect == Idempotency::kNone) {
         Broken(Rule::kRepeat, when, reached.request, "sent again though it may have run");
       }
-      if (rules.effect == Effect::kKeyed && when > first->reached + rules.window + options_.answer_slack) {
+      if (rules.effect == Idempotency::kWithKey &&
+          when > first->reached + rules.window + options_.answer_slack) {
         Broken(Rule::kRepeat, when, reached.request, "sent again after its key's window");
       }
     }
--- a/checks/rules.hpp
+++ b/checks/rules.hpp
@@ -26,7 +26,7 @@
 
 struct ClassRules {
   Freshness freshness = Freshness::kAny;
-  Effect effect = Effect::kSafe;
+  Idempotency effect = Idempotency::kIdempotent;
   Micros bound = 0;   // of kBounded
   Micros window = 0;  // of kKeyed, from the first attempt that may have run
 };
--- a/demo/demo.cpp
+++ b/demo/demo.cpp
@@ -137,7 +137,7 @@
   std::cout << "'two' has had " << two.statements() - before << " requests since the router was told.\n";
   const int status = program.Stop();
   checks::RuleOptions rules;
-  rules.classes["reading-write"] = {Freshness::kWrite, Effect::kKeyed, 0, 3'000'000};
+  rules.classes["reading-write"] = {Freshness::kWrite, Idempotency::kWithKey, 0, 3'000'000};
   const auto broken = checks::Check(history.Events(), rules);
   std::cout << ToText(broken) << (broken.empty() ? "All rules were kept.\n" : "");
   loop.Stop();
--- a/include/tulipyoke/router.hpp
+++ b/include/tulipyoke/router.hpp
@@ -17,25 +17,25 @@
 using ServerId = std::uint32_t;
 
 enum class Freshness { kAny, kBounded, kSession, kFresh, kWrite };
-enum class Effect { kSafe, kKeyed, kUnsafe };
-enum class RepeatGroup { kAll, kZone, kCell };
-enum class Guards { kOff, kRefuse, kHold };
+enum class Idempotency { kIdempotent, kWithKey, kNone };
+enum class RetryScope { kAll, kZone, kCell };
+enum class StalenessGuard { kOff, kReject, kWait };
 enum class TokenMode { kRemembered, kCarried };
-enum class ListedRole { kNone, kStart, kLate };
-enum class ReportVia { kOff, kAnswers, kProbe };
+enum class ListedRole { kNever, kInitial, kDelayed };
+enum class LoadReportSource { kOff, kResponses, kHealthChecks };
 
 struct ClassSettings {
   std::string name;
   Freshness freshness = Freshness::kAny;
-  Micros bound = 0;  // of a kBounded class
-  Micros aim = 0;
+  Micros staleness_bound = 0;  // of a kBounded class
+  Micros latency_objective = 0;
   Micros deadline = 0;
-  double worth = 0;
-  double late_worth = 0;
-  Effect effect = Effect::kSafe;
-  RepeatGroup repeat_group = RepeatGroup::kAll;
-  Micros repeat_window = 0;
-  bool stream = false;
+  double priority_weight = 0;
+  double late_weight = 0;
+  Idempotency idempotency = Idempotency::kIdempotent;
+  RetryScope retry_scope = RetryScope::kAll;
+  Micros retry_window = 0;
+  bool streaming = false;
 };
 
 struct TenantSettings {
@@ -47,36 +47,36 @@
 struct Settings {
   std::vector<ClassSettings> classes;
   std::vector<TenantSettings> tenants;
-  Guards guards = Guards::kOff;
+  StalenessGuard staleness_guard = StalenessGuard::kOff;
   Micros catch_up_wait = 0;
   TokenMode token_mode = TokenMode::kRemembered;
-  ListedRole listed_role = ListedRole::kNone;
-  Micros origin = 0;          // clock time from which positions count
-  bool ask_for_list = false;  // changes come only after Watch or Fetch
-  ReportVia reports = ReportVia::kOff;
+  ListedRole listed_role = ListedRole::kNever;
+  Micros position_epoch = 0;        // clock time from which positions count
+  bool poll_endpoint_list = false;  // changes come only after Watch or Fetch
+  LoadReportSource load_report_source = LoadReportSource::kOff;
   std::vector<std::string> report_fields;
   bool reports_are_floats = true;  // a position in a report may then have been rounded up
-  bool may_cancel = false;
-  bool may_probe = false;
-  bool second_copies = false;
+  bool cancel_allowed = false;
+  bool health_checks_allowed = false;
+  bool hedging_allowed = false;
   bool retry_after = false;
   Micros max_retry_after = 0;
   int max_attempts = 0;  // 0: no limit stated
-  Micros answer_slack = 0;
-  Micros ask_within = 0;
-  double cold_from = 0;
-  Micros warm_after = 0;
-  double fall_multiple = 0;
-  Micros fall = 0;
-  Micros drain_grace = 0;
+  Micros response_slack = 0;
+  Micros max_list_age = 0;
+  double slow_start_fraction = 0;
+  Micros slow_start_window = 0;
+  double overload_multiple = 0;
+  Micros overload_window = 0;
+  Micros drain_timeout = 0;
   bool only_draining_binds = false;
-  double over_share_worth = 1;
-  double probe_price = 0;
-  double cross_zone_price = 0;
-  double waste_price = 0;
-  Micros tick = 0;
-  int gateways = 1;
-  int me = 0;
+  double over_quota_weight = 1;
+  double health_check_cost = 0;
+  double cross_zone_cost = 0;
+  double waste_cost = 0;
+  Micros clock_resolution = 0;
+  int router_count = 1;
+  int router_index = 0;
   int zone = 0;
 };
 
@@ -85,9 +85,19 @@
 
 enum class Role { kUnknown, kPrimary, kReplica };
 enum class ServerState { kGone, kReady, kDraining };
-enum class Status { kOk, kMiss, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
-
-struct ListEntry {
+enum class Status {
+  kOk,
+  kStaleOrWrongRole,
+  kError,
+  kOverloaded,
+  kTimeout,
+  kConnectFailed,
+  kReset,
+  kCancelled,
+  kNotSent
+};
+
+struct EndpointEntry {
   ServerId server = 0;
   int group = 0;
   int zone = 0;
@@ -95,7 +105,7 @@
   ServerState state = ServerState::kGone;
   double capacity_hint = 0;
   Micros boot_time = 0;  // 0: long ago
-  bool leads = false;
+  bool listed_primary = false;
 };
 
 // Events.
@@ -106,8 +116,8 @@
   int group = 0;
   std::uint64_t key = 0;
   Micros remaining = 0;
-  double wrote_ms_ago = 0;  // with TokenMode::kCarried; 0: no write
-  bool repeat = false;
+  double ms_since_write = 0;  // with TokenMode::kCarried; 0: no write
+  bool is_retry = false;
 };
 struct AttemptEnded {
   RequestId id = 0;
@@ -115,32 +125,32 @@
   ServerId server = 0;
   Status status = Status::kOk;
   Micros elapsed = 0;
-  bool over = false;
+  bool request_ended = false;
   Role role = Role::kUnknown;
   std::optional<std::int64_t> position_ms;  // or the commit of a write that went through
   Report report;
 };
-struct AnswerBegun {
+struct ResponseStarted {
   RequestId id = 0;
   int attempt = 0;
   ServerId server = 0;
 };
-struct ProbeEnded {
+struct HealthCheckEnded {
   ServerId server = 0;
   Status status = Status::kOk;
   Micros elapsed = 0;
   Report report;
 };
-enum class ListKind { kDelta, kFull, kCached, kFailed };
-struct ListNews {
-  ListKind kind = ListKind::kFull;
+enum class EndpointListKind { kDelta, kFull, kCached, kFailed };
+struct EndpointListUpdate {
+  EndpointListKind kind = EndpointListKind::kFull;
   std::uint64_t version = 0;
-  std::vector<ListEntry> entries;
+  std::vector<EndpointEntry> entries;
 };
 struct TimerFired {
   std::uint64_t token = 0;
 };
-struct RequestGone {
+struct RequestCancelled {
   RequestId id = 0;
 };
 struct PeerMessage {
@@ -148,12 +158,12 @@
   std::string bytes;
 };
 // What another process of this router, which takes over from this one or is taken over, has been told.
-struct SessionWrote {
+struct SessionCommit {
   std::uint64_t key = 0;  // 0: whatever sessions of the group are not named
   int group = 0;
   std::int64_t position_ms = 0;
 };
-struct ServerShown {
+struct ServerObservation {
   ServerId server = 0;
   Role role = Role::kUnknown;
   Micros role_time = 0;
@@ -161,11 +171,12 @@
 };
 // False: writes of sessions may have been answered that are not told yet. True again: all are known, or, with
 // `lost`, never will be.
-struct SessionsKnown {
-  bool known = true, lost = false;
+struct SessionSync {
+  bool complete = true, lost = false;
 };
-using Event = std::variant<RequestArrived, AttemptEnded, AnswerBegun, ProbeEnded, ListNews, TimerFired,
-                           RequestGone, PeerMessage, SessionWrote, ServerShown, SessionsKnown>;
+using Event =
+    std::variant<RequestArrived, AttemptEnded, ResponseStarted, HealthCheckEnded, EndpointListUpdate,
+                 TimerFired, RequestCancelled, PeerMessage, SessionCommit, ServerObservation, SessionSync>;
 
 // Actions.
 struct Send {
@@ -173,7 +184,7 @@
   ServerId server = 0;
   Micros timeout = 0;  // 0: until the client gives up
 };
-struct Refuse {
+struct Reject {
   RequestId id = 0;
   Micros retry_after = 0;  // 0: no advice
 };
@@ -188,25 +199,25 @@
   Micros delay = 0;
   std::uint64_t token = 0;
 };
-struct Probe {
+struct CheckHealth {
   ServerId server = 0;
 };
 struct CloseIdle {
   ServerId server = 0;
 };
-struct TellPeers {
+struct Gossip {
   std::optional<int> peer;  // none: every peer
   std::string bytes;
 };
 struct Log {
   std::string text;
 };
-struct WatchList {
+struct WatchEndpointList {
   bool on = true;
 };
-struct FetchList {};
-using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Probe, CloseIdle, TellPeers, Log, WatchList,
-                            FetchList>;
+struct FetchEndpointList {};
+using Action = std::variant<Send, Reject, Fail, Cancel, SetTimer, CheckHealth, CloseIdle, Gossip, Log,
+                            WatchEndpointList, FetchEndpointList>;
 
 // One gateway's router. Not thread-safe; nothing is shared between Routers.
 class Router {
@@ -217,13 +228,13 @@
   Router& operator=(Router&&) noexcept;
 
   // Takes one event at the clock time `now` and appends what is to be done, in order. The first event
-  // of a Router is ListNews.
+  // of a Router is EndpointListUpdate.
   void handle(Micros now, const Event& event, std::vector<Action>& actions);
   // Whether it now passes over a server that it knows: it drains, is suspect or is left alone for a while.
   bool avoids(Micros now, ServerId server) const;
   // What it knows of that session's writes, or with 0 of all of them.
-  std::vector<SessionWrote> sessions(std::uint64_t key) const;
-  ServerShown shown(ServerId server) const;
+  std::vector<SessionCommit> known_commits(std::uint64_t key) const;
+  ServerObservation observation(ServerId server) const;
 
  private:
   struct State;
--- a/src/config/directory_config.cpp
+++ b/src/config/directory_config.cpp
@@ -106,10 +106,10 @@
     object.Fail("sources", "must name 1 to " + std::to_string(kMostSources) + " sources");
   }
   membership::Options& options = config.membership;
-  Micros longest = settings.drain_grace;
+  Micros longest = settings.drain_timeout;
   for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
   options.linger = std::max(options.linger, longest + kLingerMargin);
-  if (settings.warm_after > 0) options.warm_after = settings.warm_after;
+  if (settings.slow_start_window > 0) options.warm_after = settings.slow_start_window;
   options.linger = object.Millis("linger_ms", options.linger, static_cast<double>(longest) / 1e3, kHourMs);
   options.memory = object.Millis("memory_ms", options.memory, 0, 24 * kHourMs);
   options.most_servers = object.Count("most_servers", options.most_servers, 1, 1'000'000);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -79,18 +79,17 @@
 ClassSettings ParseClass(const Table& pairs, const std::string& path) {
   ClassSettings result;
   result.name = pairs.Text(path + "name");
-  result.aim = pairs.Whole(path + "aim");
+  result.latency_objective = pairs.Whole(path + "aim");
   result.deadline = pairs.Whole(path + "deadline");
-  result.worth = pairs.Number(path + "worth");
-  result.late_worth = pairs.Number(path + "late_worth");
-  result.effect = pairs.Word<Effect>(
-      path + "semantics",
-      {{"free", Effect::kSafe}, {"guarded", Effect::kKeyed}, {"single_shot", Effect::kUnsafe}});
-  result.repeat_group = pairs.Word<RepeatGroup>(
-      path + "group",
-      {{"all", RepeatGroup::kAll}, {"zone", RepeatGroup::kZone}, {"cell", RepeatGroup::kCell}});
-  result.repeat_window = pairs.Whole(path + "window");
-  result.stream = pairs.Flag(path + "stream");
+  result.priority_weight = pairs.Number(path + "worth");
+  result.late_weight = pairs.Number(path + "late_worth");
+  result.idempotency = pairs.Word<Idempotency>(path + "semantics", {{"free", Idempotency::kIdempotent},
+                                                                    {"guarded", Idempotency::kWithKey},
+                                                                    {"single_shot", Idempotency::kNone}});
+  result.retry_scope = pairs.Word<RetryScope>(
+      path + "group", {{"all", RetryScope::kAll}, {"zone", RetryScope::kZone}, {"cell", RetryScope::kCell}});
+  result.retry_window = pairs.Whole(path + "window");
+  result.streaming = pairs.Flag(path + "stream");
   return result;
 }
 
@@ -115,7 +114,7 @@
     ClassSettings c = ParseClass(pairs, "services." + std::to_string(i) + ".");
     const auto at = static_cast<std::size_t>(i);
     if (at < freshness.size()) c.freshness = ParseFreshness(freshness[at]);
-    if (at < bounds.size()) c.bound = Table::WholeOf("domain.lag_allowed", bounds[at]);
+    if (at < bounds.size()) c.staleness_bound = Table::WholeOf("domain.lag_allowed", bounds[at]);
     s.classes.push_back(std::move(c));
   }
   const std::int64_t tenants = pairs.Count("realms.count");
@@ -124,41 +123,43 @@
     s.tenants.push_back({std::string(pairs.Text(path + "name")), pairs.Number(path + "quota_per_s"),
                          pairs.Number(path + "fraction")});
   }
-  s.guards = pairs.Word<Guards>(
-      "domain.guards", {{"off", Guards::kOff}, {"reject", Guards::kRefuse}, {"hold", Guards::kHold}});
+  s.staleness_guard = pairs.Word<StalenessGuard>(
+      "domain.guards",
+      {{"off", StalenessGuard::kOff}, {"reject", StalenessGuard::kReject}, {"hold", StalenessGuard::kWait}});
   s.catch_up_wait = pairs.Whole("domain.catch_up_wait");
   s.token_mode = pairs.Word<TokenMode>("domain.token_mode",
                                        {{"router", TokenMode::kRemembered}, {"client", TokenMode::kCarried}});
   s.listed_role = pairs.Word<ListedRole>(
       "domain.role_listed",
-      {{"off", ListedRole::kNone}, {"initial", ListedRole::kStart}, {"delayed", ListedRole::kLate}});
-  s.origin = pairs.Whole("domain.origin_time");
-  s.ask_for_list = pairs.Word<bool>("discovery", {{"push", false}, {"ask", true}});
-  s.reports = pairs.Word<ReportVia>(
-      "stats.via",
-      {{"off", ReportVia::kOff}, {"inline", ReportVia::kAnswers}, {"on_probe", ReportVia::kProbe}});
+      {{"off", ListedRole::kNever}, {"initial", ListedRole::kInitial}, {"delayed", ListedRole::kDelayed}});
+  s.position_epoch = pairs.Whole("domain.origin_time");
+  s.poll_endpoint_list = pairs.Word<bool>("discovery", {{"push", false}, {"ask", true}});
+  s.load_report_source =
+      pairs.Word<LoadReportSource>("stats.via", {{"off", LoadReportSource::kOff},
+                                                 {"inline", LoadReportSource::kResponses},
+                                                 {"on_probe", LoadReportSource::kHealthChecks}});
   s.report_fields = pairs.List("stats.fields");
-  s.may_cancel = pairs.Flag("policy_limits.cancel");
-  s.may_probe = pairs.Flag("policy_limits.probes");
-  s.second_copies = pairs.Flag("policy_limits.second_copies");
+  s.cancel_allowed = pairs.Flag("policy_limits.cancel");
+  s.health_checks_allowed = pairs.Flag("policy_limits.probes");
+  s.hedging_allowed = pairs.Flag("policy_limits.second_copies");
   s.retry_after = pairs.Flag("policy_limits.retry_after");
   s.max_retry_after = pairs.Whole("policy_limits.max_retry_after");
   s.max_attempts = static_cast<int>(pairs.Count("policy_limits.most_tries"));
-  s.answer_slack = pairs.Whole("rules.answer_slack");
-  s.ask_within = pairs.Whole("rules.ask_within");
-  s.cold_from = pairs.Number("rules.cold_from");
-  s.warm_after = pairs.Whole("rules.warm_after");
-  s.fall_multiple = pairs.Number("rules.tip_multiple");
-  s.fall = pairs.Whole("rules.fall");
-  s.drain_grace = pairs.Whole("rules.drain_grace");
+  s.response_slack = pairs.Whole("rules.answer_slack");
+  s.max_list_age = pairs.Whole("rules.ask_within");
+  s.slow_start_fraction = pairs.Number("rules.cold_from");
+  s.slow_start_window = pairs.Whole("rules.warm_after");
+  s.overload_multiple = pairs.Number("rules.tip_multiple");
+  s.overload_window = pairs.Whole("rules.fall");
+  s.drain_timeout = pairs.Whole("rules.drain_grace");
   s.only_draining_binds = pairs.Flag("rules.dropped_stay_open");
-  s.over_share_worth = pairs.Number("over_share_worth", 1);
-  s.probe_price = pairs.Number("prices.probe");
-  s.cross_zone_price = pairs.Number("prices.cross_zone");
-  s.waste_price = pairs.Number("prices.waste");
-  s.tick = pairs.Whole("quantum");
-  s.gateways = static_cast<int>(pairs.Count("n_instances"));
-  s.me = static_cast<int>(pairs.Count("me"));
+  s.over_quota_weight = pairs.Number("over_share_worth", 1);
+  s.health_check_cost = pairs.Number("prices.probe");
+  s.cross_zone_cost = pairs.Number("prices.cross_zone");
+  s.waste_cost = pairs.Number("prices.waste");
+  s.clock_resolution = pairs.Whole("quantum");
+  s.router_count = static_cast<int>(pairs.Count("n_instances"));
+  s.router_index = static_cast<int>(pairs.Count("me"));
   s.zone = static_cast<int>(pairs.Count("zone"));
   return s;
 }
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -17,8 +17,8 @@
 }
 
 bool NeverRan(Status status) {
-  return status == Status::kMiss || status == Status::kFull || status == Status::kConnectFailed ||
-         status == Status::kMoot;
+  return status == Status::kStaleOrWrongRole || status == Status::kOverloaded ||
+         status == Status::kConnectFailed || status == Status::kNotSent;
 }
 
 // What the client calls its request.
@@ -78,7 +78,9 @@
       router_(options_.settings, options_.seed),
       ends_(options_.settings.classes.size()) {}
 
-void Exchange::Start(Micros now, const Listing& known) { Pass(now, NewsOf(known, ListKind::kCached)); }
+void Exchange::Start(Micros now, const Listing& known) {
+  Pass(now, NewsOf(known, EndpointListKind::kCached));
+}
 
 RequestId Exchange::Submit(Micros now, const ClientRequest& request) {
   const RequestId id = next_request_++;
@@ -91,7 +93,7 @@
            Numbered("group", request.group) + Numbered("wait", deadline - now);
   });
   // Should the module ever leave a request unanswered, the client still gets its answer inside the slack.
-  Schedule(deadline + options_.settings.answer_slack / 2, DueKind::kOverdue, id);
+  Schedule(deadline + options_.settings.response_slack / 2, DueKind::kOverdue, id);
   RequestArrived event;
   event.id = id;
   event.class_index = request.class_index;
@@ -99,9 +101,9 @@
   event.group = request.group;
   event.key = request.key;
   event.remaining = deadline - now;
-  event.repeat = request.repeat;
+  event.is_retry = request.repeat;
   if (request.after_unix_ms) {
-    event.wrote_ms_ago =
+    event.ms_since_write =
         std::max(0.001, static_cast<double>(now) / 1e3 - static_cast<double>(*request.after_unix_ms));
   }
   Pass(now, event);
@@ -120,7 +122,7 @@
   }
   if (requests_.erase(id) == 0) return;
   ++counters_.left;
-  Pass(now, RequestGone{id});
+  Pass(now, RequestCancelled{id});
   EndUnsent(now, id);
 }
 
@@ -137,7 +139,7 @@
                            return start && start->ticket == ticket;
                          }) == 0;
     if (carried) commands_.push_back(EndTicket{ticket});
-    EndOut(now, ticket, Outcome{.status = Status::kMoot});
+    EndOut(now, ticket, Outcome{.status = Status::kNotSent});
   }
 }
 
@@ -194,7 +196,7 @@
   const Freshness freshness = options_.settings.classes[static_cast<std::size_t>(out.class_index)].freshness;
   const bool wrote = ok && freshness == Freshness::kWrite;
   const std::optional<std::int64_t> position = PositionMs(outcome, wrote);
-  Pass(now, ServerShown{out.server, outcome.role, now, wrote ? 0 : position.value_or(0)});
+  Pass(now, ServerObservation{out.server, outcome.role, now, wrote ? 0 : position.value_or(0)});
   if (tells_) TellOutcome(out, outcome, wrote);
   // This may end the client's side as well, and with it what is known of the transfer here.
   if (ok) return transfer->Complete(std::move(outcome.served.tag));
@@ -219,7 +221,7 @@
       text += " " + listed.id + Numbered("state", static_cast<int>(listed.state));
     return text;
   });
-  Pass(now, NewsOf(listing, listing.complete ? ListKind::kFull : ListKind::kDelta));
+  Pass(now, NewsOf(listing, listing.complete ? EndpointListKind::kFull : EndpointListKind::kDelta));
 }
 
 void Exchange::EndBy(Micros when) {
@@ -248,7 +250,7 @@
     } else if (requests_.contains(due.id)) {
       counters_.overdue += now > requests_.at(due.id).deadline ? 1 : 0;
       Give(now, due.id, Failed{});
-      Pass(now, RequestGone{due.id});
+      Pass(now, RequestCancelled{due.id});
     }
   }
 }
@@ -292,7 +294,7 @@
       return "probed server=" + NameOf(out.server) + " status=" + kStatusNames[status] +
              Numbered("after", now - out.sent);
     });
-    Pass(now, ProbeEnded{out.server, outcome.status, now - out.sent, ReportOf(outcome)});
+    Pass(now, HealthCheckEnded{out.server, outcome.status, now - out.sent, ReportOf(outcome)});
     return;
   }
   ++counters_.outcomes[status];
@@ -318,7 +320,7 @@
   }
   const bool wrote = freshness == Freshness::kWrite && outcome.status == Status::kOk;
   if (outcome.status == Status::kOk) Give(now, out.request, Served{std::move(outcome.served)});
-  event.over = !requests_.contains(out.request);
+  event.request_ended = !requests_.contains(out.request);
   Pass(now, std::move(event));
   if (tells_) TellOutcome(out, outcome, wrote);
 }
@@ -328,7 +330,7 @@
 void Exchange::TellOutcome(const Out& out, const Outcome& outcome, bool wrote) {
   const auto tell = [&](auto news) { commands_.insert(commands_.begin(), TellPartners{std::move(news)}); };
   if (wrote && out.key != 0) {
-    for (const SessionWrote& session : router_.sessions(out.key)) tell(NewsOf(session));
+    for (const SessionCommit& session : router_.known_commits(out.key)) tell(NewsOf(session));
   }
   if (outcome.role == Role::kUnknown) return;
   for (auto& [id, known] : servers_) {
@@ -338,20 +340,20 @@
   }
 }
 
-SessionNews Exchange::NewsOf(const SessionWrote& wrote) const {
-  const Micros commit = wrote.position_ms * 1000 + options_.settings.origin;
+SessionNews Exchange::NewsOf(const SessionCommit& wrote) const {
+  const Micros commit = wrote.position_ms * 1000 + options_.settings.position_epoch;
   return {wrote.key, wrote.group, (commit + 999) / 1000};
 }
 
 ServerNews Exchange::NewsOf(const std::string& id, ServerId server) const {
-  const ServerShown shown = router_.shown(server);
-  const Micros position = shown.position_ms * 1000 + options_.settings.origin;
+  const ServerObservation shown = router_.observation(server);
+  const Micros position = shown.position_ms * 1000 + options_.settings.position_epoch;
   return {id, shown.role, shown.role_time, shown.position_ms > 0 ? position / 1000 : 0};
 }
 
 std::vector<SessionNews> Exchange::Sessions() const {
   std::vector<SessionNews> all;
-  for (const SessionWrote& session : router_.sessions(0)) all.push_back(NewsOf(session));
+  for (const SessionCommit& session : router_.known_commits(0)) all.push_back(NewsOf(session));
   return all;
 }
 
@@ -362,15 +364,16 @@
 }
 
 void Exchange::Learn(Micros now, const SessionNews& news) {
-  const Micros commit = news.commit_unix_ms * 1000 - options_.settings.origin;
-  Pass(now, SessionWrote{news.key, news.group, (std::max<Micros>(commit, 0) + 999) / 1000});
+  const Micros commit = news.commit_unix_ms * 1000 - options_.settings.position_epoch;
+  Pass(now, SessionCommit{news.key, news.group, (std::max<Micros>(commit, 0) + 999) / 1000});
 }
 
 void Exchange::Learn(Micros now, const ServerNews& news) {
   const auto known = servers_.find(news.id);
   if (known == servers_.end()) return;
-  const Micros position = news.position_unix_ms * 1000 - options_.settings.origin;
-  Pass(now, ServerShown{known->second.server, news.role, news.heard, std::max<Micros>(position, 0) / 1000});
+  const Micros position = news.position_unix_ms * 1000 - options_.settings.position_epoch;
+  Pass(now,
+       ServerObservation{known->second.server, news.role, news.heard, std::max<Micros>(position, 0) / 1000});
 }
 
 std::string Exchange::NameOf(ServerId server) const {
@@ -411,7 +414,7 @@
 // so no read is ever taken to be newer than it is.
 std::optional<std::int64_t> Exchange::PositionMs(const Outcome& outcome, bool commit) const {
   if (!outcome.position_unix_ms) return std::nullopt;
-  const Micros after = *outcome.position_unix_ms * 1000 - options_.settings.origin;
+  const Micros after = *outcome.position_unix_ms * 1000 - options_.settings.position_epoch;
   if (after <= 0) return std::nullopt;
   return commit ? (after + 999) / 1000 : after / 1000;
 }
@@ -425,15 +428,15 @@
     double value = it == outcome.report.end() ? -1 : it->second;
     // Whole milliseconds, rounded down, as in answers; the module wants seconds after the origin.
     if (field == "x0" && value > 0) {
-      value = (std::floor(value) - static_cast<double>(options_.settings.origin) / 1e3) / 1e3;
+      value = (std::floor(value) - static_cast<double>(options_.settings.position_epoch) / 1e3) / 1e3;
     }
     report.push_back(value);
   }
   return report;
 }
 
-ListNews Exchange::NewsOf(const Listing& listing, ListKind kind) {
-  ListNews news{kind, listing.version, {}};
+EndpointListUpdate Exchange::NewsOf(const Listing& listing, EndpointListKind kind) {
+  EndpointListUpdate news{kind, listing.version, {}};
   if (listing.complete) {
     std::set<std::string_view> named;
     for (const ListedServer& listed : listing.servers) named.insert(listed.id);
@@ -457,7 +460,7 @@
     // What waits for a connection there would begin whenever that comes up, however long after this word.
     if (!takes && known.takes) commands_.push_back(ForgetServer{id});
     known.takes = takes;
-    ListEntry entry;
+    EndpointEntry entry;
     entry.server = id;
     entry.group = listed.group;
     entry.zone = IndexOf(options_.zones, listed.zone);
@@ -465,7 +468,7 @@
     entry.state = listed.state;
     entry.capacity_hint = listed.capacity_hint;
     entry.boot_time = listed.started_unix_ms * 1000;
-    entry.leads = listed.leads;
+    entry.listed_primary = listed.leads;
     news.entries.push_back(entry);
     if (listed.state == ServerState::kGone) servers_.erase(listed.id);
   }
@@ -480,10 +483,10 @@
     AttemptEnded moot;
     moot.id = action.id;
     moot.server = action.server;
-    moot.status = Status::kMoot;
-    moot.over = it == requests_.end();
+    moot.status = Status::kNotSent;
+    moot.request_ended = it == requests_.end();
     if (it != requests_.end()) moot.attempt = it->second.sends++;
-    ++counters_.outcomes[static_cast<std::size_t>(Status::kMoot)];
+    ++counters_.outcomes[static_cast<std::size_t>(Status::kNotSent)];
     Pass(now, moot);
     return;
   }
@@ -508,15 +511,15 @@
 // keeps to that when it decides; a connection that is long in coming up must not carry the attempt past it.
 Micros Exchange::StartBy(RequestId id, const Request& request) const {
   const ClassSettings& c = options_.settings.classes[static_cast<std::size_t>(request.class_index)];
-  if (c.effect != Effect::kKeyed) return kNoLimit;
+  if (c.idempotency != Idempotency::kWithKey) return kNoLimit;
   Micros first = request.may_have_run;
   for (auto it = attempts_.lower_bound({id, 0}); it != attempts_.end() && it->first.first == id; ++it) {
     first = std::min(first, out_.at(it->second).sent);
   }
-  return first == kNoLimit ? kNoLimit : first + c.repeat_window;
+  return first == kNoLimit ? kNoLimit : first + c.retry_window;
 }
 
-void Exchange::Do(Micros now, const Refuse& action) { Give(now, action.id, Refused{action.retry_after}); }
+void Exchange::Do(Micros now, const Reject& action) { Give(now, action.id, Refused{action.retry_after}); }
 
 void Exchange::Do(Micros now, const Fail& action) { Give(now, action.id, Failed{}); }
 
@@ -533,7 +536,7 @@
   Schedule(now + std::max<Micros>(action.delay, 1), DueKind::kTimer, action.token);
 }
 
-void Exchange::Do(Micros now, const Probe& action) {
+void Exchange::Do(Micros now, const CheckHealth& action) {
   const Ticket ticket = next_ticket_++;
   out_[ticket] = {true, 0, 0, 0, action.server, now, 0};
   ++counters_.probes;
@@ -545,12 +548,12 @@
   commands_.push_back(CloseIdleConnections{action.server});
 }
 
-void Exchange::Do(Micros, const TellPeers&) {}  // this site's routers have no way to reach each other
+void Exchange::Do(Micros, const Gossip&) {}  // this site's routers have no way to reach each other
 
 void Exchange::Do(Micros, const Log& action) { commands_.push_back(WriteLog{action.text}); }
 
-void Exchange::Do(Micros, const WatchList&) {}  // the watch is kept up by itself
+void Exchange::Do(Micros, const WatchEndpointList&) {}  // the watch is kept up by itself
 
-void Exchange::Do(Micros, const FetchList&) { commands_.push_back(RefreshList{}); }
+void Exchange::Do(Micros, const FetchEndpointList&) { commands_.push_back(RefreshList{}); }
 
 }  // namespace tulipyoke
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -179,7 +179,7 @@
   std::vector<ServerNews> Shown() const;
   void Learn(Micros now, const SessionNews& news);
   void Learn(Micros now, const ServerNews& news);
-  void SessionsAre(Micros now, SessionsKnown known) { Pass(now, known); }
+  void SessionsAre(Micros now, SessionSync known) { Pass(now, known); }
   // Runs what has come due.
   void Tick(Micros now);
   std::optional<Micros> NextDue() const;
@@ -222,7 +222,7 @@
   };
 
   void Pass(Micros now, Event event);
-  SessionNews NewsOf(const SessionWrote& wrote) const;
+  SessionNews NewsOf(const SessionCommit& wrote) const;
   ServerNews NewsOf(const std::string& id, ServerId server) const;
   void TellOutcome(const Out& out, const Outcome& outcome, bool wrote);
   void Schedule(Micros when, DueKind kind, std::uint64_t id);
@@ -240,19 +240,19 @@
   Micros StartBy(RequestId id, const Request& request) const;
   std::optional<std::int64_t> PositionMs(const Outcome& outcome, bool commit) const;
   Report ReportOf(const Outcome& outcome) const;
-  ListNews NewsOf(const Listing& listing, ListKind kind);
+  EndpointListUpdate NewsOf(const Listing& listing, EndpointListKind kind);
 
   void Do(Micros now, const Send& action);
-  void Do(Micros now, const Refuse& action);
+  void Do(Micros now, const Reject& action);
   void Do(Micros now, const Fail& action);
   void Do(Micros now, const Cancel& action);
   void Do(Micros now, const SetTimer& action);
-  void Do(Micros now, const Probe& action);
+  void Do(Micros now, const CheckHealth& action);
   void Do(Micros now, const CloseIdle& action);
-  void Do(Micros now, const TellPeers& action);
+  void Do(Micros now, const Gossip& action);
   void Do(Micros now, const Log& action);
-  void Do(Micros now, const WatchList& action);
-  void Do(Micros now, const FetchList& action);
+  void Do(Micros now, const WatchEndpointList& action);
+  void Do(Micros now, const FetchEndpointList& action);
 
   ExchangeOptions options_;
   Router router_;
--- a/src/limits/cold_budget.cpp
+++ b/src/limits/cold_budget.cpp
@@ -13,9 +13,9 @@
 }  // namespace
 
 double Warmth(const Settings& settings, Micros cold_since, Micros now) {
-  if (cold_since < 0 || settings.warm_after <= 0) return 1;
-  const double age = static_cast<double>(now - cold_since) / static_cast<double>(settings.warm_after);
-  return std::clamp(settings.cold_from + (1 - settings.cold_from) * age, 0.0, 1.0);
+  if (cold_since < 0 || settings.slow_start_window <= 0) return 1;
+  const double age = static_cast<double>(now - cold_since) / static_cast<double>(settings.slow_start_window);
+  return std::clamp(settings.slow_start_fraction + (1 - settings.slow_start_fraction) * age, 0.0, 1.0);
 }
 
 double EvenRate(const Settings& settings, std::size_t servers) {
@@ -26,12 +26,12 @@
 
 // A router that knows nothing counts on its even part of one request.
 bool ColdBudget::Fits(const Settings& settings, Micros now, double cost, const Server& server) {
-  while (!sent_.empty() && now - sent_.front().first > settings.fall) sent_.pop_front();
+  while (!sent_.empty() && now - sent_.front().first > settings.overload_window) sent_.pop_front();
   double used = draw_ * cost;
   for (const auto& sent : sent_) used += sent.second;
-  const double window = server.warmth * static_cast<double>(settings.fall);
-  const double even = std::max(1.0, server.even_rate * window) / std::max(settings.gateways, 1);
-  const double margin = std::max(1.0, kShareOfFall * settings.fall_multiple);
+  const double window = server.warmth * static_cast<double>(settings.overload_window);
+  const double even = std::max(1.0, server.even_rate * window) / std::max(settings.router_count, 1);
+  const double margin = std::max(1.0, kShareOfFall * settings.overload_multiple);
   return used < std::max(margin * server.warm_rate * window, even * cost);
 }
 
--- a/src/limits/cold_budget.hpp
+++ b/src/limits/cold_budget.hpp
@@ -40,7 +40,7 @@
   bool Allows(const Settings& settings, Micros now, double cost, const Server& server, const Chance& chance) {
     if (now >= next_draw_) {
       draw_ = chance();
-      next_draw_ = now + settings.fall;
+      next_draw_ = now + settings.overload_window;
     }
     return Fits(settings, now, cost, server);
   }
--- a/src/limits/list_pace.cpp
+++ b/src/limits/list_pace.cpp
@@ -21,17 +21,17 @@
 
 ListPace::ListPace(const Settings& settings, std::uint64_t seed) : random_(seed) {
   first_ = kFirstRetry;
-  if (!settings.ask_for_list) {
-    if (settings.drain_grace > 0)
-      first_ = std::clamp(settings.drain_grace / kGapParts, kLeastGap, kFirstRetry);
-    answered_within_ = settings.drain_grace > 0
-                           ? std::clamp(settings.drain_grace / kAnswerParts, kLeastAnswer, kMostAnswer)
+  if (!settings.poll_endpoint_list) {
+    if (settings.drain_timeout > 0)
+      first_ = std::clamp(settings.drain_timeout / kGapParts, kLeastGap, kFirstRetry);
+    answered_within_ = settings.drain_timeout > 0
+                           ? std::clamp(settings.drain_timeout / kAnswerParts, kLeastAnswer, kMostAnswer)
                            : kMostAnswer;
     return;
   }
   most_doublings_ = kMostDoublings;
-  most_ = kLongest * std::max<Micros>(settings.ask_within, 0);
-  spread_ = std::min(kGap * std::max(settings.gateways, 1), most_);
+  most_ = kLongest * std::max<Micros>(settings.max_list_age, 0);
+  spread_ = std::min(kGap * std::max(settings.router_count, 1), most_);
 }
 
 Micros ListPace::AfterFailure() {
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -462,7 +462,8 @@
   if (found == classes_.end()) return "no class of requests has this name";
   const ClassSettings& c = exchange_.settings().classes[static_cast<std::size_t>(found->second)];
   if (statement->writes != (c.freshness == Freshness::kWrite)) return "the class does not fit the statement";
-  if (c.effect == Effect::kKeyed && statement->repeat_key.empty()) return "the class wants a key for repeats";
+  if (c.idempotency == Idempotency::kWithKey && statement->repeat_key.empty())
+    return "the class wants a key for repeats";
   // The request that has this id is another's: it goes on untouched.
   if (open_ids_.contains(std::string(statement->id))) return "a request with this id is still open";
   return nullptr;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -95,8 +95,9 @@
   ExchangeOptions options{config.settings,        config.seed, config.zones, config.kinds,
                           config.connect_timeout, config.trace};
   options.settings.reports_are_floats = false;
-  const Micros origin = options.settings.origin;
-  if (origin > now || origin < now - kOldestOrigin) options.settings.origin = now - kOriginBeforeStart;
+  const Micros origin = options.settings.position_epoch;
+  if (origin > now || origin < now - kOldestOrigin)
+    options.settings.position_epoch = now - kOriginBeforeStart;
   return options;
 }
 
@@ -145,7 +146,7 @@
   LogInfo("takes_over", config.name + " takes over from a running process", {{"name", config.name}});
   Take(kShareBeside);
   exchange_.TellOthers(true);
-  exchange_.SessionsAre(clock_.Now(), {.known = false});
+  exchange_.SessionsAre(clock_.Now(), {.complete = false});
   serve_timer_.In(kSyncWait, [this] {
     if (service_.state() != Service::State::kStarting) return;
     handover_.Part(Handover::Partner::kOlder);
@@ -209,7 +210,7 @@
 void Node::OnStep(Handover::Partner partner, HandoverStep step) {
   if (partner == Handover::Partner::kOlder) {
     if (step != HandoverStep::kSynced) return;
-    exchange_.SessionsAre(clock_.Now(), {.known = true});
+    exchange_.SessionsAre(clock_.Now(), {.complete = true});
     return Serve();
   }
   if (step == HandoverStep::kHello) {
@@ -248,9 +249,9 @@
     exchange_.TellOthers(false);
   }
   if (!done) {
-    exchange_.SessionsAre(clock_.Now(), {.known = false});
+    exchange_.SessionsAre(clock_.Now(), {.complete = false});
     sessions_timer_.In(std::chrono::microseconds(LongestDeadline(config_.settings)),
-                       [this] { exchange_.SessionsAre(clock_.Now(), {.known = true, .lost = true}); });
+                       [this] { exchange_.SessionsAre(clock_.Now(), {.complete = true, .lost = true}); });
   }
   if (partner == Handover::Partner::kOlder) return Serve();
   if (service_.state() != Service::State::kHandedOver) return;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -254,7 +254,8 @@
       if (pg::ReadU32(body, 0) != 0) throw pg::ProtocolError("a password is asked for");
       return;
     case 'E':
-      return OpenFailed(link, pg::ParseError(body).code == "53300" ? Status::kFull : Status::kConnectFailed);
+      return OpenFailed(link,
+                        pg::ParseError(body).code == "53300" ? Status::kOverloaded : Status::kConnectFailed);
     case 'Z':
       link->alarm.Off();
       return OnReady(link);
@@ -296,7 +297,7 @@
 void ServerPool::Run(const Link& link, Job job) {
   // Its connection took too long: sent now, it could take effect a second time.
   if (job.start_by < clock_.Now()) {
-    exchange_.Finished(clock_.Now(), job.ticket, Outcome{.status = Status::kMoot});
+    exchange_.Finished(clock_.Now(), job.ticket, Outcome{.status = Status::kNotSent});
     return OnReady(link);
   }
   link->state = Connection::State::kBusy;
@@ -351,7 +352,7 @@
 void ServerPool::TooLate(const Link& link) {
   const Ticket ticket = link->ticket;
   Drop(link);
-  exchange_.Finished(clock_.Now(), ticket, Outcome{.status = Status::kMoot});
+  exchange_.Finished(clock_.Now(), ticket, Outcome{.status = Status::kNotSent});
 }
 
 void ServerPool::OnBroken(const Link& link) {
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -8,8 +8,9 @@
 // Only these codes prove that nothing ran; whatever else a server may say, it may have run. A probe has no
 // effect, and 57P03 turns it away: the server is there, and has just been asked by too many at once.
 Status StatusOf(const std::string& code, AnswerReader::Query query) {
-  if (code == "25006" || code == "72000") return Status::kMiss;
-  if (code == "53300" || (code == "57P03" && query == AnswerReader::Query::kProbe)) return Status::kFull;
+  if (code == "25006" || code == "72000") return Status::kStaleOrWrongRole;
+  if (code == "53300" || (code == "57P03" && query == AnswerReader::Query::kProbe))
+    return Status::kOverloaded;
   return Status::kError;
 }
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -87,7 +87,7 @@
 struct Server {
   ServerId id = 0;
   int group = kUnknown, zone = 0;
-  bool open = false, leads = false;              // listed as ready, listed as primary
+  bool open = false, listed_primary = false;     // listed as ready, listed as primary
   Micros boot = 0, known_since = 0, listed = 0;  // listed: when it was last known to be open
   // Role and position (after the origin), with the time of the evidence.
   Role role = Role::kUnknown;
@@ -170,20 +170,20 @@
   State(const Settings& given, std::uint64_t seed) : settings(given), random(seed) {
     Micros shortest_aim = kNever;
     for (ClassSettings& c : settings.classes) {
-      if (c.deadline <= 0) c.deadline = c.aim;
-      if (c.aim <= 0) c.aim = c.deadline;
-      shortest_aim = std::min(shortest_aim, c.aim);
-      longest_aim = std::max(longest_aim, c.aim);
+      if (c.deadline <= 0) c.deadline = c.latency_objective;
+      if (c.latency_objective <= 0) c.latency_objective = c.deadline;
+      shortest_aim = std::min(shortest_aim, c.latency_objective);
+      longest_aim = std::max(longest_aim, c.latency_objective);
       longest_deadline = std::max(longest_deadline, c.deadline);
-      if (c.freshness == Freshness::kBounded) tightest_bound = std::min(tightest_bound, c.bound);
-      class_latency.push_back(kFirstGuess * static_cast<double>(c.aim));
+      if (c.freshness == Freshness::kBounded) tightest_bound = std::min(tightest_bound, c.staleness_bound);
+      class_latency.push_back(kFirstGuess * static_cast<double>(c.latency_objective));
     }
     first_tries.resize(settings.classes.size());
-    settings.gateways = std::max(settings.gateways, 1);
-    burst = probe_budget = std::max(1.0, kResendBurst / settings.gateways);
-    settings.tick = std::max<Micros>(settings.tick, 1);
+    settings.router_count = std::max(settings.router_count, 1);
+    burst = probe_budget = std::max(1.0, kResendBurst / settings.router_count);
+    settings.clock_resolution = std::max<Micros>(settings.clock_resolution, 1);
     if (shortest_aim == kNever) shortest_aim = 0;
-    check_gap = std::max(settings.tick, shortest_aim / kChecksPerAim);
+    check_gap = std::max(settings.clock_resolution, shortest_aim / kChecksPerAim);
     for (std::size_t i = 0; i < settings.report_fields.size(); ++i) {
       if (settings.report_fields[i] == "x0") x0_field = static_cast<int>(i);
       if (settings.report_fields[i] == "x1") x1_field = static_cast<int>(i);
@@ -210,7 +210,7 @@
   }
   Server* Find(ServerId id) { return Lookup(servers, id); }
   Request* FindRequest(RequestId id) { return Lookup(requests, id); }
-  Micros Position(Micros clock) const { return clock - settings.origin; }
+  Micros Position(Micros clock) const { return clock - settings.position_epoch; }
   static bool NeedsPrimary(const ClassSettings& c) {
     return c.freshness == Freshness::kWrite || c.freshness == Freshness::kFresh;
   }
@@ -272,12 +272,12 @@
     s.next_cut = now + check_gap;
   }
   double WorkSpan() const {
-    return static_cast<double>(std::max({settings.fall, settings.warm_after, Micros{1}}));
+    return static_cast<double>(std::max({settings.overload_window, settings.slow_start_window, Micros{1}}));
   }
   // Work finished there for this router, a microsecond, over about a warm-up: one of many sees few answers.
   // What was finished before it was known here cannot have been counted: early on the sum stands for less.
   double WorkRate(const Server& s) const {
-    const double known = static_cast<double>(std::max(now - s.known_since, settings.fall));
+    const double known = static_cast<double>(std::max(now - s.known_since, settings.overload_window));
     const double counted = 1 - std::exp(-known / WorkSpan());
     return Ratio(s.work_rate * std::exp(-static_cast<double>(now - s.work_time) / WorkSpan()), counted);
   }
@@ -291,7 +291,7 @@
     if (s.rate_position == kUnknown) {
       s.rate_position = position;
       s.rate_time = now;
-    } else if (span >= kRateTicks * settings.tick) {
+    } else if (span >= kRateTicks * settings.clock_resolution) {
       s.rate = Ratio(static_cast<double>(position - s.rate_position), static_cast<double>(span));
       s.rate_position = position;
       s.rate_time = now;
@@ -312,7 +312,7 @@
     for (const ServerId id : g.members) {
       const Server& s = servers[id];
       if (s.role == Role::kPrimary && (!best || s.role_time > best->role_time)) best = &s;
-      if (s.role == Role::kUnknown && s.leads) listed = &s;
+      if (s.role == Role::kUnknown && s.listed_primary) listed = &s;
     }
     if (!best) best = listed;
     g.has_primary = best != nullptr;
@@ -336,29 +336,29 @@
     const auto position = static_cast<Micros>(below * 1e6);
     if (position > Position(now)) return;
     // A position is never later than its report, so it dates the role: a primary's exactly.
-    if (x1 == 1.0) HearRole(s, Role::kPrimary, position + settings.origin);
-    if (x1 == 0.0) HearRole(s, Role::kReplica, position + settings.origin);
+    if (x1 == 1.0) HearRole(s, Role::kPrimary, position + settings.position_epoch);
+    if (x1 == 0.0) HearRole(s, Role::kReplica, position + settings.position_epoch);
     ShowPosition(s, position, false);
   }
 
   // ---- The list ------------------------------------------------------------------------------------------
 
-  void On(const ListNews& news) {
-    if (news.kind == ListKind::kFailed) next_ask = now + longest_aim;
-    if (news.kind == ListKind::kFull || news.kind == ListKind::kCached) {
+  void On(const EndpointListUpdate& news) {
+    if (news.kind == EndpointListKind::kFailed) next_ask = now + longest_aim;
+    if (news.kind == EndpointListKind::kFull || news.kind == EndpointListKind::kCached) {
       for (auto& [id, s] : servers) {
-        const auto names = [&, key = id](const ListEntry& e) { return e.server == key; };
+        const auto names = [&, key = id](const EndpointEntry& e) { return e.server == key; };
         const bool named = std::any_of(news.entries.begin(), news.entries.end(), names);
         if (!named && !settings.only_draining_binds) s.open = false;
       }
     }
-    for (const ListEntry& e : news.entries) TakeEntry(e, news.kind == ListKind::kCached);
+    for (const EndpointEntry& e : news.entries) TakeEntry(e, news.kind == EndpointListKind::kCached);
     for (auto& [number, g] : groups) FindPrimary(g);
     most_open = std::max<std::size_t>(most_open, std::count_if(servers.begin(), servers.end(),
                                                                [](const auto& e) { return e.second.open; }));
     PumpAll();
   }
-  void TakeEntry(const ListEntry& e, bool cached) {
+  void TakeEntry(const EndpointEntry& e, bool cached) {
     if (e.state == ServerState::kGone && !servers.contains(e.server)) return;
     Server& s = servers[e.server];
     const bool fresh = s.group == kUnknown;
@@ -379,16 +379,17 @@
     } else if (fresh && !cached && e.boot_time == 0) {
       s.cold_since = now;
     }
-    if (e.leads && !s.leads && settings.listed_role == ListedRole::kLate && !fresh) AskServer(s, 0);
-    s.leads = e.leads && settings.listed_role != ListedRole::kNone;
+    if (e.listed_primary && !s.listed_primary && settings.listed_role == ListedRole::kDelayed && !fresh)
+      AskServer(s, 0);
+    s.listed_primary = e.listed_primary && settings.listed_role != ListedRole::kNever;
     if (s.open && !was_open && !cached) AskServer(s, 0);
   }
   // A subscription lost without a word would leave the list to age: ask anew within the rule's time.
   void KeepList() {
-    if (!settings.ask_for_list || now < next_ask) return;
-    Do(WatchList{true});
-    const Micros patience = settings.ask_within > 0 ? settings.ask_within / 2 : longest_deadline;
-    next_ask = now + std::max(patience, settings.tick);
+    if (!settings.poll_endpoint_list || now < next_ask) return;
+    Do(WatchEndpointList{true});
+    const Micros patience = settings.max_list_age > 0 ? settings.max_list_age / 2 : longest_deadline;
+    next_ask = now + std::max(patience, settings.clock_resolution);
   }
 
   // ---- Health --------------------------------------------------------------------------------------------
@@ -415,7 +416,7 @@
     s.back_off = 0;
     if (!s.suspect) return;
     // A server out of reach for as long as a fall takes may have been started anew before the list says so.
-    if (s.unreachable && now - s.suspect_from > settings.fall) StartedAnew(s, now);
+    if (s.unreachable && now - s.suspect_from > settings.overload_window) StartedAnew(s, now);
     s.suspect = s.unreachable = false;
   }
   // What was learned of the process before says nothing of this one: it would be passed over until that
@@ -431,22 +432,22 @@
   // One request at a time tries a suspect, and only when a probe has come back.
   bool MayTry(const Server& s) const {
     const auto trial = [&](const Flight& f) { return f.sent >= s.suspect_since && !f.cancelled; };
-    const bool probed = !settings.may_probe || s.probe_done >= s.suspect_since;
+    const bool probed = !settings.health_checks_allowed || s.probe_done >= s.suspect_since;
     return !s.suspect || (probed && std::none_of(s.flights.begin(), s.flights.end(), trial));
   }
 
   // ---- Probes --------------------------------------------------------------------------------------------
 
   void AskServer(Server& s, Micros gap) {
-    if (!settings.may_probe || s.probing || !s.open) return;
+    if (!settings.health_checks_allowed || s.probing || !s.open) return;
     if (gap > 0 && s.probe_sent != kUnknown && now - s.probe_sent < std::max(gap, s.probe_gap)) return;
     if (probe_budget < 1) return;
     probe_budget -= 1;
     s.probing = true;
     s.probe_sent = now;
-    Do(Probe{s.id});
+    Do(CheckHealth{s.id});
   }
-  void On(const ProbeEnded& e) {
+  void On(const HealthCheckEnded& e) {
     Server* s = Find(e.server);
     if (!s) return;
     s->probing = false;
@@ -457,7 +458,7 @@
       // A probe that showed nothing new makes the next one wait longer: reports are refreshed now and then.
       const Micros longer = std::min(kChecksPerAim * check_gap, 2 * std::max(s->probe_gap, check_gap));
       s->probe_gap = s->position > before ? check_gap : longer;
-    } else if (e.status != Status::kFull) {
+    } else if (e.status != Status::kOverloaded) {
       Suspect(*s, true);
     }
     Pump(s->group);
@@ -496,16 +497,17 @@
     const bool known_class =
         e.class_index >= 0 && static_cast<std::size_t>(e.class_index) < settings.classes.size();
     // No server was ever listed in that group; remembering it would let clients fill the memory.
-    if (!known_class || !groups.contains(e.group)) return Do(Refuse{e.id, 0});
+    if (!known_class || !groups.contains(e.group)) return Do(Reject{e.id, 0});
     Request r{.id = e.id, .class_index = e.class_index, .group = e.group, .key = e.key, .arrived = now};
     r.deadline = now + std::max<Micros>(e.remaining, 0);
     const ClassSettings& c = ClassOf(r.class_index);
-    const bool late = first_tries[static_cast<std::size_t>(r.class_index)].IsLate(e.remaining, c.aim);
-    r.earns = c.worth * (late ? c.late_worth : 1);
+    const bool late =
+        first_tries[static_cast<std::size_t>(r.class_index)].IsLate(e.remaining, c.latency_objective);
+    r.earns = c.priority_weight * (late ? c.late_weight : 1);
     if (c.freshness == Freshness::kSession) {
       if (settings.token_mode == TokenMode::kCarried) {
-        if (e.wrote_ms_ago > 0) {
-          const auto ago = static_cast<float>(e.wrote_ms_ago);
+        if (e.ms_since_write > 0) {
+          const auto ago = static_cast<float>(e.ms_since_write);
           const double below = std::min(static_cast<double>(std::nextafter(ago, 0.0F)) * 1e3, 1e15);
           r.token = Position(now) - static_cast<Micros>(below);
         }
@@ -526,14 +528,16 @@
   Micros Needed(const Request& r) const {
     const ClassSettings& c = ClassOf(r.class_index);
     if (c.freshness == Freshness::kSession) return r.token;
-    if (c.freshness == Freshness::kBounded) return Position(now) - c.bound;
+    if (c.freshness == Freshness::kBounded) return Position(now) - c.staleness_bound;
     return kUnknown;
   }
   // An apply rate that nothing has confirmed for a while fades to one: else a replica once seen standing
   // still would get no read, and so show nothing, for ever.
   double Rate(const Server& s) const { return std::max(kLeastRate, 1 + (s.rate - 1) * Fresh(s.rate_time)); }
   // Nothing has shown its position, and it checks by itself: a read may go there as its own probe.
-  bool Unshown(const Server& s) const { return s.position == kUnknown && settings.guards != Guards::kOff; }
+  bool Unshown(const Server& s) const {
+    return s.position == kUnknown && settings.staleness_guard != StalenessGuard::kOff;
+  }
   // What is left of it: a position shown a while ago has moved on since, as far as its rate tells.
   double PredictedWait(const Server& s, Micros needed) const {
     if (needed <= s.position || needed == kUnknown || Unshown(s)) return 0;
@@ -548,9 +552,9 @@
   // behind for, the prediction is enough; one read at a time goes ahead of what was shown, as its own probe.
   bool Ready(const Server& s, Micros needed) const {
     if (needed == kUnknown || s.position >= needed) return true;
-    if (settings.guards == Guards::kOff) return false;
+    if (settings.staleness_guard == StalenessGuard::kOff) return false;
     if (PredictedWait(s, needed) > static_cast<double>(settings.catch_up_wait)) return false;
-    return (settings.guards == Guards::kHold && !Unshown(s)) ||
+    return (settings.staleness_guard == StalenessGuard::kWait && !Unshown(s)) ||
            std::none_of(s.flights.begin(), s.flights.end(), [](const Flight& f) { return f.scout; });
   }
   bool Admits(Server& s, const Request& r) {
@@ -565,7 +569,7 @@
   // the way to another zone. So a router of hundreds keeps to few servers, and knows these better.
   double Way(const Server& s, int class_index) const {
     const bool linked = s.last_answer != kUnknown && Faded(s.last_answer) > kLinked;
-    const bool far = settings.cross_zone_price > 0 && s.zone != settings.zone;
+    const bool far = settings.cross_zone_cost > 0 && s.zone != settings.zone;
     return kWayShare * Usual(class_index) * ((linked ? 0 : 1) + (far ? 1 : 0));
   }
   // The lowest sum of own load, own smoothed time, the way, predicted wait and what is left of a reported
@@ -588,7 +592,7 @@
       if (others > 0 && others > static_cast<double>(LastUseful(r) - now)) continue;
       // Stale: too old for the tightest bound that a class has.
       if (needed == kUnknown && ShownLag(s) > tightest_bound &&
-          score <= kSpareAim * static_cast<double>(ClassOf(r.class_index).aim) &&
+          score <= kSpareAim * static_cast<double>(ClassOf(r.class_index).latency_objective) &&
           (!stalest || ShownLag(s) > ShownLag(*stalest))) {
         stalest = &s;
       }
@@ -634,9 +638,10 @@
     if (settings.max_attempts > 0 && r.sends >= settings.max_attempts) return false;
     const ClassSettings& c = ClassOf(r.class_index);
     if (!r.maybe_ran) return true;
-    if (c.effect == Effect::kUnsafe) return false;
-    if (c.effect == Effect::kKeyed) {
-      return r.first_maybe != kUnknown && now + 2 * settings.tick - r.first_maybe < c.repeat_window;
+    if (c.idempotency == Idempotency::kNone) return false;
+    if (c.idempotency == Idempotency::kWithKey) {
+      return r.first_maybe != kUnknown &&
+             now + 2 * settings.clock_resolution - r.first_maybe < c.retry_window;
     }
     return true;
   }
@@ -645,7 +650,7 @@
   Micros LastUseful(const Request& r) const {
     const ClassSettings& c = ClassOf(r.class_index);
     const auto own = static_cast<Micros>(Usual(r.class_index));
-    const Micros end = c.late_worth > 0 ? r.deadline : std::min(r.deadline, r.arrived + c.aim);
+    const Micros end = c.late_weight > 0 ? r.deadline : std::min(r.deadline, r.arrived + c.latency_objective);
     const Micros last = end - std::min(own, (end - r.arrived) / 2);
     return r.sends > 0 ? last : std::min(last, (r.arrived + r.deadline) / 2 - check_gap);
   }
@@ -684,8 +689,9 @@
     // where servers check nothing, once a replica has shown since its arrival that it is too far behind.
     if (PredictedWait(*s, needed) > static_cast<double>(LastUseful(r) - now)) {
       const bool shown = c.freshness == Freshness::kSession && s->position_time > r.arrived;
-      if (r.turned_away || (settings.guards == Guards::kOff && shown)) return UseSpareRoom(r);
-      if (settings.guards != Guards::kOff && probe_budget >= 1) {
+      if (r.turned_away || (settings.staleness_guard == StalenessGuard::kOff && shown))
+        return UseSpareRoom(r);
+      if (settings.staleness_guard != StalenessGuard::kOff && probe_budget >= 1) {
         probe_budget -= 1;
         return SendTo(r, *s);
       }
@@ -700,7 +706,7 @@
   // A replica showed the bound within a deadline: the read is shed for crowding then, not for lag.
   bool ShownToAny(const Request& r) {
     const Group& g = groups[r.group];
-    const Micros oldest = Position(now - longest_deadline) - ClassOf(r.class_index).bound;
+    const Micros oldest = Position(now - longest_deadline) - ClassOf(r.class_index).staleness_bound;
     return std::any_of(g.members.begin(), g.members.end(),
                        [&](ServerId id) { return id != g.primary && servers[id].position >= oldest; });
   }
@@ -708,8 +714,8 @@
   void UseSpareRoom(Request& r) {
     const Group& g = groups[r.group];
     const bool drawn = r.looks > 0 && r.looking == g.primary;
-    Server* s =
-        drawn || Chance() < g.spare.Share(now, FadeSpan(), settings.gateways) ? ChoosePrimary(r) : nullptr;
+    Server* s = drawn || Chance() < g.spare.Share(now, FadeSpan(), settings.router_count) ? ChoosePrimary(r)
+                                                                                          : nullptr;
     if (s && Look(r, *s)) return;
     if (!s || Warmth(*s) < 1 || OthersLoad(*s, r.class_index) > 0) return GiveUp(r);
     SendTo(r, *s);
@@ -720,7 +726,7 @@
     const bool awaited = now < r.look_until && servers[r.looking].probing;
     const bool calm = groups[r.group].crowding.Admitted(now, FadeSpan()) >= 1 && s.queued < 1;
     const bool fresh = static_cast<double>(now - s.queue_time) <= Expected(s, r.class_index);
-    const bool can = queue_field != kUnknown && settings.may_probe && r.looks < kLooks;
+    const bool can = queue_field != kUnknown && settings.health_checks_allowed && r.looks < kLooks;
     if (!awaited && (!can || calm || fresh)) return false;
     if (!awaited) {
       ++r.looks;
@@ -781,12 +787,12 @@
     ++r.out;
     r.held = false;
     r.choice.reset();
-    const bool to_aim = c.effect == Effect::kSafe && c.late_worth <= 0;
-    const Micros end = to_aim ? std::min(r.deadline, r.arrived + c.aim) : r.deadline;
+    const bool to_aim = c.idempotency == Idempotency::kIdempotent && c.late_weight <= 0;
+    const Micros end = to_aim ? std::min(r.deadline, r.arrived + c.latency_objective) : r.deadline;
     Do(Send{r.id, s.id, std::max<Micros>(end - now, 1)});
   }
   void CallOff(RequestId id) {
-    if (!settings.may_cancel) return;
+    if (!settings.cancel_allowed) return;
     for (auto& [number, s] : servers) {
       for (Flight& f : s.flights) {
         if (f.id != id || f.cancelled) continue;
@@ -799,8 +805,8 @@
   // ---- Outcomes ------------------------------------------------------------------------------------------
 
   static bool NeverRan(Status status) {
-    return status == Status::kFull || status == Status::kConnectFailed || status == Status::kMoot ||
-           status == Status::kMiss;
+    return status == Status::kOverloaded || status == Status::kConnectFailed || status == Status::kNotSent ||
+           status == Status::kStaleOrWrongRole;
   }
   void On(const AttemptEnded& e) {
     Server* s = Find(e.server);
@@ -817,8 +823,8 @@
     }
     if (Request* r = FindRequest(e.id)) {
       r->out = std::max(0, r->out - 1);
-      if (!e.over) AfterFailure(*r, e, sent);
-      if (e.over) requests.erase(e.id);
+      if (!e.request_ended) AfterFailure(*r, e, sent);
+      if (e.request_ended) requests.erase(e.id);
     }
     if (s) Pump(s->group);
   }
@@ -826,12 +832,13 @@
     const int c = flight.class_index;
     const Status status = e.status;
     const bool ok = status == Status::kOk;
-    const bool late = static_cast<double>(e.elapsed) > kCrowdedAim * static_cast<double>(ClassOf(c).aim);
-    if (ok || status == Status::kMiss || status == Status::kError) Trust(s);
+    const bool late =
+        static_cast<double>(e.elapsed) > kCrowdedAim * static_cast<double>(ClassOf(c).latency_objective);
+    if (ok || status == Status::kStaleOrWrongRole || status == Status::kError) Trust(s);
     // A refused connection may only mean that the server has all it takes: a probe tells whether it is down.
     if (status == Status::kConnectFailed) AskServer(s, 0);
     const bool failed = status == Status::kError || status == Status::kReset;
-    if (failed || ok || status == Status::kMiss) CountOutcome(s, failed);
+    if (failed || ok || status == Status::kStaleOrWrongRole) CountOutcome(s, failed);
     // A process that died fails all that was out there, and the probe as well.
     if (status == Status::kReset && Failing(s) >= kFailingShare) Suspect(s, true);
     if (status == Status::kReset) AskServer(s, 0);
@@ -839,22 +846,23 @@
     if (status == Status::kTimeout) Learn(s, c, std::max(e.elapsed, static_cast<Micros>(Expected(s, c))));
     if (ok) Learn(s, c, e.elapsed);
     if (ok) CountWork(s, c);
-    if (status == Status::kFull || status == Status::kConnectFailed) BackOff(s);
+    if (status == Status::kOverloaded || status == Status::kConnectFailed) BackOff(s);
     // A short time-out is the client's or the wait's, no sign of the server.
     const bool in_time = ok && !late;
-    const bool crowd = status == Status::kFull || (late && (ok || status == Status::kTimeout));
+    const bool crowd = status == Status::kOverloaded || (late && (ok || status == Status::kTimeout));
     if (crowd) Crowded(s);
     if (in_time) s.limit += 1 / std::max(s.limit, 1.0);
     Group& g = groups[s.group];
     if (g.primary == s.id) {
       const bool quick = ok && static_cast<double>(e.elapsed) < kSpareTimes * Usual(c);
-      g.spare.Answered(now, FadeSpan(), settings.gateways, quick, crowd || (ok && !quick));
+      g.spare.Answered(now, FadeSpan(), settings.router_count, quick, crowd || (ok && !quick));
     } else if (in_time || crowd) {
       g.crowding.Answered(now, FadeSpan(), check_gap, in_time);
     }
     const bool write = ClassOf(c).freshness == Freshness::kWrite;
     if (e.role != Role::kUnknown) HearRole(s, e.role, now);
-    if (status == Status::kMiss && write && e.role != Role::kPrimary) HearRole(s, Role::kReplica, now);
+    if (status == Status::kStaleOrWrongRole && write && e.role != Role::kPrimary)
+      HearRole(s, Role::kReplica, now);
     const bool commit = write && ok;
     if (commit) NoteCommit(s, flight, e);
     if (e.position_ms && !commit && e.role != Role::kPrimary) ShowPosition(s, *e.position_ms * 1000, true);
@@ -868,15 +876,15 @@
     commits.Note(flight.key, s.group, commit);
   }
   // To the rules all processes of a router are one: what any of them was told, each must keep to.
-  void On(const SessionWrote& e) { commits.Note(e.key, e.group, e.position_ms * 1000); }
-  void On(const ServerShown& e) {
+  void On(const SessionCommit& e) { commits.Note(e.key, e.group, e.position_ms * 1000); }
+  void On(const ServerObservation& e) {
     Server* s = Find(e.server);
     if (!s) return;
     HearRole(*s, e.role, e.role_time);
     if (e.role != Role::kPrimary && e.position_ms > 0) ShowPosition(*s, e.position_ms * 1000, true);
   }
-  void On(const SessionsKnown& e) {
-    sessions_known = e.known;
+  void On(const SessionSync& e) {
+    sessions_known = e.complete;
     for (const auto& [number, g] : groups) {
       if (e.lost) commits.RaiseFloor(number, Position(now));
     }
@@ -888,14 +896,14 @@
       r.maybe_ran = true;
     }
     if (r.out > 0) return;
-    if (e.status == Status::kMoot || now >= LastUseful(r) || !MaySend(r)) return GiveUp(r);
+    if (e.status == Status::kNotSent || now >= LastUseful(r) || !MaySend(r)) return GiveUp(r);
     // A turned-away attempt costs its server too: without a budget, ten tries each keep a full fleet full.
-    if (!never_ran || e.status == Status::kFull || e.status == Status::kConnectFailed) {
+    if (!never_ran || e.status == Status::kOverloaded || e.status == Status::kConnectFailed) {
       const double cost = e.status == Status::kError || e.status == Status::kReset ? kFailureCost : 1;
       if (resends < cost) return GiveUp(r);
       resends -= cost;
     }
-    const bool read = !NeedsPrimary(ClassOf(r.class_index)), miss = e.status == Status::kMiss;
+    const bool read = !NeedsPrimary(ClassOf(r.class_index)), miss = e.status == Status::kStaleOrWrongRole;
     if (miss) r.turned_away = true;
     if (read && miss && ++r.misses >= kLooks) return UseSpareRoom(r);
     if (read && !miss) r.failed_at.push_back(e.server);
@@ -906,19 +914,19 @@
 
   void GiveUp(Request& r) {
     const ClassSettings& c = ClassOf(r.class_index);
-    const bool harmless = (!r.maybe_ran && r.out == 0) || c.effect == Effect::kSafe ||
-                          (c.effect == Effect::kKeyed && c.repeat_group == RepeatGroup::kAll);
+    const bool harmless = (!r.maybe_ran && r.out == 0) || c.idempotency == Idempotency::kIdempotent ||
+                          (c.idempotency == Idempotency::kWithKey && c.retry_scope == RetryScope::kAll);
     if (harmless) {
-      Do(Refuse{r.id, settings.retry_after ? settings.max_retry_after : 0});
+      Do(Reject{r.id, settings.retry_after ? settings.max_retry_after : 0});
     } else {
       Do(Fail{r.id});
     }
     if (r.out > 0) CallOff(r.id);
     requests.erase(r.id);
   }
-  void On(const RequestGone& e) {
+  void On(const RequestCancelled& e) {
     const Request* r = FindRequest(e.id);
-    if (r && r->out > 0 && ClassOf(r->class_index).effect == Effect::kSafe) CallOff(e.id);
+    if (r && r->out > 0 && ClassOf(r->class_index).idempotency == Idempotency::kIdempotent) CallOff(e.id);
     requests.erase(e.id);
   }
 
@@ -939,7 +947,7 @@
     ForgetServers();
     for (auto& [number, g] : groups) LearnWarmRate(g);
     PumpAll();
-    commits.Forget(Position(now) - kTokenSpans * std::max(settings.warm_after, longest_deadline));
+    commits.Forget(Position(now) - kTokenSpans * std::max(settings.slow_start_window, longest_deadline));
   }
   // Servers are replaced by others under new ids for ever: one that is gone, with nothing out, leaves no
   // trace.
@@ -957,7 +965,7 @@
     }
     std::erase_if(servers, gone);
   }
-  void On(const AnswerBegun&) {}  // the client's from then on: its outcome ends it
+  void On(const ResponseStarted&) {}  // the client's from then on: its outcome ends it
   void On(const PeerMessage&) {}
 
   void Handle(Micros clock, const Event& event, std::vector<Action>& out) {
@@ -985,10 +993,12 @@
   const Server* s = state_->Find(server);
   return s && (!s->open || s->suspect || now < s->next_try);
 }
-std::vector<SessionWrote> Router::sessions(std::uint64_t key) const { return state_->commits.Known(key); }
-ServerShown Router::shown(ServerId server) const {
+std::vector<SessionCommit> Router::known_commits(std::uint64_t key) const {
+  return state_->commits.Known(key);
+}
+ServerObservation Router::observation(ServerId server) const {
   const Server* s = state_->Find(server);
-  return s ? ServerShown{server, s->role, s->role_time, s->position / 1000} : ServerShown{server};
+  return s ? ServerObservation{server, s->role, s->role_time, s->position / 1000} : ServerObservation{server};
 }
 
 }  // namespace tulipyoke
--- a/src/sessions/commits.cpp
+++ b/src/sessions/commits.cpp
@@ -31,9 +31,9 @@
   kept_ = std::max(kKept, 2 * commits_.size());
 }
 
-std::vector<SessionWrote> Commits::Known(std::uint64_t key) const {
+std::vector<SessionCommit> Commits::Known(std::uint64_t key) const {
   const auto up = [](Micros position) { return (position + 999) / 1000; };
-  std::vector<SessionWrote> known;
+  std::vector<SessionCommit> known;
   const auto end = key == 0 ? commits_.end() : commits_.upper_bound(key);
   for (auto it = commits_.lower_bound(key); it != end; ++it)
     known.push_back({it->first, it->second.group, up(it->second.position)});
--- a/src/sessions/commits.hpp
+++ b/src/sessions/commits.hpp
@@ -25,7 +25,7 @@
   // Merges what is older than `oldest`, once there are many; a look each time would cost more than it frees.
   void Forget(Micros oldest);
   // What is known of that session, or with 0 of all of them and of the floors; commits rounded up.
-  std::vector<SessionWrote> Known(std::uint64_t key) const;
+  std::vector<SessionCommit> Known(std::uint64_t key) const;
   std::size_t size() const { return commits_.size(); }
 
  private:
--- a/tests/checks_test.cpp
+++ b/tests/checks_test.cpp
@@ -11,10 +11,10 @@
 RuleOptions Options() {
   RuleOptions options;
   options.classes["read"] = {};
-  options.classes["fresh-by-200"] = {Freshness::kBounded, Effect::kSafe, 200'000, 0};
-  options.classes["own"] = {Freshness::kSession, Effect::kSafe, 0, 0};
-  options.classes["write"] = {Freshness::kWrite, Effect::kKeyed, 0, 3 * kSecond};
-  options.classes["once"] = {Freshness::kAny, Effect::kUnsafe, 0, 0};
+  options.classes["fresh-by-200"] = {Freshness::kBounded, Idempotency::kIdempotent, 200'000, 0};
+  options.classes["own"] = {Freshness::kSession, Idempotency::kIdempotent, 0, 0};
+  options.classes["write"] = {Freshness::kWrite, Idempotency::kWithKey, 0, 3 * kSecond};
+  options.classes["once"] = {Freshness::kAny, Idempotency::kNone, 0, 0};
   return options;
 }
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -66,8 +66,8 @@
   EXPECT_EQ(e.key, 0x91f03b7c55d20a64u);
   EXPECT_EQ(e.remaining, 0x3a980);
   EXPECT_EQ(e.group, 11);
-  EXPECT_DOUBLE_EQ(e.wrote_ms_ago, 412.5);
-  EXPECT_TRUE(e.repeat);
+  EXPECT_DOUBLE_EQ(e.ms_since_write, 412.5);
+  EXPECT_TRUE(e.is_retry);
 }
 
 TEST(Codec, OutcomeFields) {
@@ -78,7 +78,7 @@
   EXPECT_EQ(e.role, Role::kReplica);
   EXPECT_EQ(e.position_ms, 0x638e / 4);
   EXPECT_EQ(e.server, 0x03124a07u);
-  EXPECT_TRUE(e.over);
+  EXPECT_TRUE(e.request_ended);
   EXPECT_EQ(e.elapsed, 0x4844);
   EXPECT_EQ(e.attempt, 2);
   EXPECT_EQ(e.status, Status::kOk);
@@ -91,24 +91,25 @@
       EventOf<AttemptEnded>(ParseOne("044c 0003 0001af0f5d3a91c4 00000001 03124a07 00 00004844 00 00cc 00"));
   EXPECT_FALSE(e.position_ms.has_value());
   EXPECT_EQ(e.role, Role::kPrimary);
-  EXPECT_EQ(e.status, Status::kMiss);
+  EXPECT_EQ(e.status, Status::kStaleOrWrongRole);
 }
 
 TEST(Codec, EveryOutcomeNumber) {
   const std::vector<std::pair<std::string, Status>> all = {
-      {"00c8", Status::kOk},        {"01f6", Status::kError},         {"01ad", Status::kFull},
+      {"00c8", Status::kOk},        {"01f6", Status::kError},         {"01ad", Status::kOverloaded},
       {"0198", Status::kTimeout},   {"0209", Status::kConnectFailed}, {"0208", Status::kReset},
-      {"01bc", Status::kCancelled}, {"0199", Status::kMoot},          {"00cc", Status::kMiss}};
+      {"01bc", Status::kCancelled}, {"0199", Status::kNotSent},       {"00cc", Status::kStaleOrWrongRole}};
   for (const auto& [code, status] : all) {
-    EXPECT_EQ(EventOf<ProbeEnded>(ParseOne("041a 0003 2c9011f2 " + code + " 00000578 00")).status, status);
+    EXPECT_EQ(EventOf<HealthCheckEnded>(ParseOne("041a 0003 2c9011f2 " + code + " 00000578 00")).status,
+              status);
   }
   EXPECT_THROW(ParseOne("041a 0003 2c9011f2 00c9 00000578 00"), FormatError);
 }
 
 TEST(Codec, SmallEvents) {
   EXPECT_EQ(EventOf<TimerFired>(ParseOne("042e 0003 000000000000004d")).token, 0x4du);
-  EXPECT_EQ(EventOf<RequestGone>(ParseOne("0442 0005 000ebd970e6f2b19")).id, 0xebd970e6f2b19u);
-  EXPECT_EQ(EventOf<AnswerBegun>(ParseOne("0424 0003 0001af0f5d3a91c4 03124a07 05 00002422")).attempt, 5);
+  EXPECT_EQ(EventOf<RequestCancelled>(ParseOne("0442 0005 000ebd970e6f2b19")).id, 0xebd970e6f2b19u);
+  EXPECT_EQ(EventOf<ResponseStarted>(ParseOne("0424 0003 0001af0f5d3a91c4 03124a07 05 00002422")).attempt, 5);
   EXPECT_TRUE(std::holds_alternative<InstanceStopped>(ParseOne("0438 0003").payload));
   const auto memo = EventOf<PeerMessage>(ParseOne("03e8 0003 0002 00000000 00000004", "hi 7"));
   EXPECT_EQ(memo.from, 2);
@@ -123,7 +124,7 @@
   const auto& list = std::get<ListDefined>(r.payload);
   EXPECT_EQ(list.bank, 4u);
   ASSERT_EQ(list.entries.size(), 2u);
-  EXPECT_TRUE(list.entries[0].leads);
+  EXPECT_TRUE(list.entries[0].listed_primary);
   EXPECT_EQ(list.entries[0].state, ServerState::kReady);
   EXPECT_EQ(list.entries[1].server, 0x2c9011f2u);
   EXPECT_EQ(list.entries[1].state, ServerState::kDraining);
@@ -163,16 +164,15 @@
   const auto one = [](Action action) {
     return EncodeReply(1, {{3, std::move(action)}}).substr(kReplyHeaderSize);
   };
-  EXPECT_EQ(one(Refuse{0xebd970e6f2b19, 250000}),
+  EXPECT_EQ(one(Reject{0xebd970e6f2b19, 250000}),
             Hex("03f2 0003 000ebd970e6f2b19 0003d090 0000000000000000"));
   EXPECT_EQ(one(Fail{0xebd970e6f2b19}), Hex("03fc 0003 000ebd970e6f2b19 000000000000000000000000"));
   EXPECT_EQ(one(Cancel{1, 2}), Hex("0406 0003 0000000000000001 02 0000000000000000000000"));
-  EXPECT_EQ(one(Probe{7}), Hex("041a 0003 00000007 00000000000000000000000000000000"));
+  EXPECT_EQ(one(CheckHealth{7}), Hex("041a 0003 00000007 00000000000000000000000000000000"));
   EXPECT_EQ(one(CloseIdle{7}), Hex("0424 0003 00000007 00000000000000000000000000000000"));
-  EXPECT_EQ(one(WatchList{true}), Hex("044c 0003 01 00000000000000000000000000000000000000"));
-  EXPECT_EQ(one(FetchList{}), Hex("0456 0003 0000000000000000000000000000000000000000"));
-  EXPECT_EQ(one(TellPeers{{}, "hi 7"}),
-            Hex("042e 0003 ffffffff 00000000 00000004 0000000000000000") + "hi 7");
+  EXPECT_EQ(one(WatchEndpointList{true}), Hex("044c 0003 01 00000000000000000000000000000000000000"));
+  EXPECT_EQ(one(FetchEndpointList{}), Hex("0456 0003 0000000000000000000000000000000000000000"));
+  EXPECT_EQ(one(Gossip{{}, "hi 7"}), Hex("042e 0003 ffffffff 00000000 00000004 0000000000000000") + "hi 7");
   EXPECT_EQ(EncodeReply(1, {{3, InstanceBroken{"x"}}}).substr(kReplyHeaderSize),
             Hex("0442 0003 00000000 00000001 000000000000000000000000") + "x");
   // A time that does not fit is cut, a negative one is none left.
@@ -189,19 +189,19 @@
       "discovery=ask\nstats.via=inline\nstats.fields=x0,x1\nrules.tip_multiple=2.5\nnew.key=7\nquantum=5000\n"
       "realms.count=1\nrealms.0.quota_per_s=109.0\npolicy_limits.second_copies=true\n");
   ASSERT_EQ(s.classes.size(), 2u);
-  EXPECT_EQ(s.classes[0].effect, Effect::kKeyed);
-  EXPECT_EQ(s.classes[0].repeat_group, RepeatGroup::kCell);
-  EXPECT_EQ(s.classes[0].repeat_window, 2000000);
+  EXPECT_EQ(s.classes[0].idempotency, Idempotency::kWithKey);
+  EXPECT_EQ(s.classes[0].retry_scope, RetryScope::kCell);
+  EXPECT_EQ(s.classes[0].retry_window, 2000000);
   EXPECT_EQ(s.classes[0].freshness, Freshness::kWrite);
   EXPECT_EQ(s.classes[1].freshness, Freshness::kBounded);
-  EXPECT_EQ(s.classes[1].bound, 3000000);
-  EXPECT_EQ(s.guards, Guards::kHold);
+  EXPECT_EQ(s.classes[1].staleness_bound, 3000000);
+  EXPECT_EQ(s.staleness_guard, StalenessGuard::kWait);
   EXPECT_EQ(s.token_mode, TokenMode::kCarried);
-  EXPECT_EQ(s.listed_role, ListedRole::kLate);
-  EXPECT_EQ(s.reports, ReportVia::kAnswers);
-  EXPECT_TRUE(s.ask_for_list);
-  EXPECT_TRUE(s.second_copies);
-  EXPECT_DOUBLE_EQ(s.fall_multiple, 2.5);
+  EXPECT_EQ(s.listed_role, ListedRole::kDelayed);
+  EXPECT_EQ(s.load_report_source, LoadReportSource::kResponses);
+  EXPECT_TRUE(s.poll_endpoint_list);
+  EXPECT_TRUE(s.hedging_allowed);
+  EXPECT_DOUBLE_EQ(s.overload_multiple, 2.5);
   EXPECT_DOUBLE_EQ(s.tenants.at(0).quota_per_s, 109);
   EXPECT_EQ(s.report_fields, (std::vector<std::string>{"x0", "x1"}));
 }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -32,10 +32,10 @@
   EXPECT_EQ(c.zones, (std::vector<std::string>{"a", "b"}));
   ASSERT_EQ(c.settings.classes.size(), 1u);
   EXPECT_EQ(c.settings.classes[0].name, "map read");
-  EXPECT_EQ(c.settings.classes[0].effect, Effect::kKeyed);
+  EXPECT_EQ(c.settings.classes[0].idempotency, Idempotency::kWithKey);
   EXPECT_EQ(c.settings.classes[0].freshness, Freshness::kBounded);
-  EXPECT_EQ(c.settings.classes[0].bound, 200'000);
-  EXPECT_TRUE(c.settings.may_probe);
+  EXPECT_EQ(c.settings.classes[0].staleness_bound, 200'000);
+  EXPECT_TRUE(c.settings.health_checks_allowed);
   EXPECT_EQ(c.settings.report_fields, (std::vector<std::string>{"x0", "x1"}));
   // Entries that make no sense do not hide the others.
   ASSERT_EQ(c.known.servers.size(), 1u);
@@ -54,10 +54,10 @@
       "services.0.aim=300000\nservices.0.deadline=1200000\ndomain.freshness=recent\n"
       "domain.lag_allowed=200000\npolicy_limits.probes=true\nstats.fields=x0,x1\n");
   EXPECT_EQ(json.classes[0].name, lines.classes[0].name);
-  EXPECT_EQ(json.classes[0].bound, lines.classes[0].bound);
-  EXPECT_EQ(json.classes[0].repeat_group, lines.classes[0].repeat_group);
+  EXPECT_EQ(json.classes[0].staleness_bound, lines.classes[0].staleness_bound);
+  EXPECT_EQ(json.classes[0].retry_scope, lines.classes[0].retry_scope);
   EXPECT_EQ(json.report_fields, lines.report_fields);
-  EXPECT_EQ(json.may_probe, lines.may_probe);
+  EXPECT_EQ(json.health_checks_allowed, lines.health_checks_allowed);
 }
 
 // Guards against a start with half a configuration: what is wrong is said instead.
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -140,7 +140,7 @@
   pg::AppendError(refusal, "ERROR", "53300", "not now");
   pg::AppendReady(refusal);
   server.Say(0, refusal);
-  rig.Until([&] { return rig.outcomes(Status::kFull) == 1; });
+  rig.Until([&] { return rig.outcomes(Status::kOverloaded) == 1; });
   rig.Leave(id);
   EXPECT_TRUE(rig.Until([&] { return server.Drain(0); }));
   EXPECT_LT(server.got[0].size(), std::size_t{64} << 20);
@@ -150,7 +150,7 @@
 // past its time, and its close crosses the query.
 TEST(CrossingIdle, AConnectionPastItsTimeIsNotPicked) {
   HeldServer server;
-  Rig rig(Rig::OneClass(Effect::kUnsafe), 10);
+  Rig rig(Rig::OneClass(Idempotency::kNone), 10);
   rig.Know({Rig::Listed("a", server.port())});
   const RequestId first = rig.Ask("first");
   ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
@@ -196,7 +196,7 @@
   rig.Leave(id);
   EXPECT_TRUE(rig.Until([&] { return server.Drain(0); }));
   EXPECT_LT(server.got[0].size(), statement.size());
-  EXPECT_EQ(rig.outcomes(Status::kMoot), 1u);
+  EXPECT_EQ(rig.outcomes(Status::kNotSent), 1u);
 }
 
 // Guards against a request sent in the very turn in which its client's leaving was read behind it.
@@ -298,8 +298,8 @@
 // Guards against a repeat that began within its window and is whole after it: servers begin with the last
 // byte, so that it would run a second time.
 TEST(CrossingWindow, ARepeatWhoseLastByteWouldComeTooLateIsNotSentToItsEnd) {
-  Settings settings = Rig::OneClass(Effect::kKeyed);
-  settings.classes[0].repeat_window = 400'000;
+  Settings settings = Rig::OneClass(Idempotency::kWithKey);
+  settings.classes[0].retry_window = 400'000;
   HeldServer first, second;
   Rig rig(settings);
   rig.Know({Rig::Listed("a", first.port())});
@@ -320,13 +320,13 @@
   ASSERT_TRUE(rig.Until([&] { return rig.clock.Now() > window_over; }));
   EXPECT_TRUE(rig.Until([&] { return second.Drain(0) || second.got[0].size() > statement.size(); }));
   EXPECT_LT(second.got[0].size(), statement.size());
-  EXPECT_EQ(rig.outcomes(Status::kMoot), 1u);
+  EXPECT_EQ(rig.outcomes(Status::kNotSent), 1u);
   EXPECT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
 }
 
 Settings Soon() {
-  Settings settings = Rig::OneClass(Effect::kUnsafe);
-  settings.classes[0].aim = settings.classes[0].deadline = 300'000;
+  Settings settings = Rig::OneClass(Idempotency::kNone);
+  settings.classes[0].latency_objective = settings.classes[0].deadline = 300'000;
   return settings;
 }
 
@@ -371,8 +371,8 @@
 
 // Guards against an answer without end that holds its request, or fills the memory.
 TEST(CrossingSpoilt, AnAnswerThatNeverEndsIsEndedByItsTime) {
-  Settings settings = Rig::OneClass(Effect::kSafe);
-  settings.classes[0].aim = 300'000;
+  Settings settings = Rig::OneClass(Idempotency::kIdempotent);
+  settings.classes[0].latency_objective = 300'000;
   HeldServer server;
   Rig rig(settings);
   rig.Know({Rig::Listed("a", server.port())});
@@ -394,7 +394,7 @@
 // two attempts out at once: the spoilt one's connection is closed before the next server hears anything.
 TEST(CrossingSpoilt, AGoodAnswerBehindASpoiltOneIsNobodys) {
   HeldServer first, second;
-  Rig rig(Rig::OneClass(Effect::kSafe));
+  Rig rig(Rig::OneClass(Idempotency::kIdempotent));
   rig.Know({Rig::Listed("a", first.port())});
   const RequestId id = rig.Ask("statement");
   ASSERT_TRUE(rig.Until([&] { return first.Came(); }));
@@ -448,7 +448,7 @@
 // Guards against one attempt more than the settings allow, where each is ended by an error and another server
 // is free to take it.
 TEST(CrossingRetries, TheLastAllowedAttemptIsTheLast) {
-  Settings settings = Rig::OneClass(Effect::kSafe);
+  Settings settings = Rig::OneClass(Idempotency::kIdempotent);
   settings.max_attempts = 2;
   HeldServer servers[3];
   Rig rig(settings);
@@ -476,7 +476,7 @@
 TEST(CrossingNews, WhatMakesRoomWhileARequestIsReadDoesNotCloseItsClient) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
+  Exchange exchange({Rig::OneClass(Idempotency::kNone), 1, {}, {}, 1'000'000});
   exchange.Start(clock.Now(), Listing{1, true, {}});
   const Service service;
   ClientFront* told = nullptr;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -38,13 +38,13 @@
     source.update(more);
     return [source](Config& config) {
       Settings& rules = config.settings;
-      rules.classes[0].aim = 300'000;
+      rules.classes[0].latency_objective = 300'000;
       rules.classes[0].deadline = 2'000'000;
-      rules.cold_from = 0.15;
-      rules.warm_after = 18'000'000;
-      rules.fall_multiple = 3;
-      rules.fall = 3'000'000;
-      rules.drain_grace = 2'000'000;
+      rules.slow_start_fraction = 0.15;
+      rules.slow_start_window = 18'000'000;
+      rules.overload_multiple = 3;
+      rules.overload_window = 3'000'000;
+      rules.drain_timeout = 2'000'000;
       config.directory = DirectoryFrom({{"sources", {source}}}, "membership", config.settings);
       config.known = Listing();
     };
@@ -119,10 +119,10 @@
   const auto adjust = FromRecords("transfer");
   const auto three = [&](Config& config) {
     adjust(config);
-    config.settings.classes[0].aim = 1'000'000;  // a busy machine turns nobody away
-    config.settings.gateways = 3;
-    config.settings.may_probe = true;
-    config.settings.reports = ReportVia::kProbe;
+    config.settings.classes[0].latency_objective = 1'000'000;  // a busy machine turns nobody away
+    config.settings.router_count = 3;
+    config.settings.health_checks_allowed = true;
+    config.settings.load_report_source = LoadReportSource::kHealthChecks;
     config.settings.report_fields = {"x0", "x1", "util"};
   };
   std::vector<std::unique_ptr<Running>> nodes;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -108,7 +108,7 @@
   b.Ask(kKeyedWrite);
   ASSERT_EQ(b.attempts.size(), 1u);
   EXPECT_EQ(b.attempts[0].start_by, kNoLimit);
-  b.End(b.attempts[0].ticket, {.status = Status::kFull});  // never ran: no window has begun
+  b.End(b.attempts[0].ticket, {.status = Status::kOverloaded});  // never ran: no window has begun
   while (b.attempts.size() == 1 && b.exchange.live() > 0) b.Pass(kMs);
   ASSERT_EQ(b.attempts.size(), 2u);
   EXPECT_EQ(b.attempts[1].start_by, kNoLimit);
@@ -192,8 +192,8 @@
 // Guards against a read taken for newer than it is: positions are rounded down, commits up, to the origin.
 TEST(Exchange, ACommitIsRoundedUpAndASessionReadWaitsForIt) {
   Settings settings = TestSettings();
-  settings.origin = 1'767'225'000 * kSecond + 500;  // half a millisecond off
-  settings.listed_role = ListedRole::kNone;
+  settings.position_epoch = 1'767'225'000 * kSecond + 500;  // half a millisecond off
+  settings.listed_role = ListedRole::kNever;
   Bench b(settings);
   const std::int64_t unix_ms = b.now / 1000;
   const auto show = [&](ServerId server, Role role, std::int64_t x0) {
@@ -229,7 +229,7 @@
 // before its answer goes out, and the read waits for it.
 TEST(Exchange, WhatOneProcessWroteTheOtherReads) {
   Settings settings = TestSettings();
-  settings.origin = 1'767'225'000 * kSecond + 500;
+  settings.position_epoch = 1'767'225'000 * kSecond + 500;
   Bench writer(settings), reader(settings);
   const std::int64_t unix_ms = writer.now / 1000;
   writer.exchange.TellOthers(true);
@@ -338,7 +338,7 @@
   b.exchange.ClientLeft(b.now, waits);
   b.Collect();
   EXPECT_EQ(b.ended, (std::vector<Ticket>{b.attempts[0].ticket}));
-  EXPECT_EQ(b.exchange.counters().outcomes[static_cast<std::size_t>(Status::kMoot)], 1u);
+  EXPECT_EQ(b.exchange.counters().outcomes[static_cast<std::size_t>(Status::kNotSent)], 1u);
   b.Pass(kSecond);
   EXPECT_EQ(b.attempts.size(), 1u);
 }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -17,18 +17,18 @@
 
 Settings FleetSettings() {
   Settings s = TestSettings();
-  s.guards = Guards::kHold;
+  s.staleness_guard = StalenessGuard::kWait;
   s.catch_up_wait = 20 * kMs;
-  s.listed_role = ListedRole::kNone;
-  s.gateways = 300;
+  s.listed_role = ListedRole::kNever;
+  s.router_count = 300;
   return s;
 }
 
 // Guards against hundreds of routers that all ask all servers at their start: one may ask one server then.
 TEST(Fleet, ProbesAtOnceAreSharedByAllRouters) {
   Scene scene(FleetSettings());
-  std::size_t probes = Only<Probe>(scene.Arrive(1, kFreshRead)).size();
-  for (int i = 0; i < 10; ++i) probes += Only<Probe>(scene.Pass(50 * kMs)).size();
+  std::size_t probes = Only<CheckHealth>(scene.Arrive(1, kFreshRead)).size();
+  for (int i = 0; i < 10; ++i) probes += Only<CheckHealth>(scene.Pass(50 * kMs)).size();
   EXPECT_EQ(probes, 1u);
 }
 
@@ -36,14 +36,14 @@
 // turn, each once, and what their answers told holds for the writes that follow.
 TEST(Fleet, AWriteFindsItsPrimaryWhenNobodyCanBeAsked) {
   Scene scene(FleetSettings());
-  const auto asked = Only<Probe>(scene.Arrive(1, kFreshRead));  // the one probe that there is
+  const auto asked = Only<CheckHealth>(scene.Arrive(1, kFreshRead));  // the one probe that there is
   ASSERT_EQ(asked.size(), 1u);
   scene.Probed(asked[0].server, 0, false);
   std::set<ServerId> tried;
   auto to = SentTo(scene.Arrive(2, kUnsafeWrite), 2);
   while (to && *to != 3) {
     EXPECT_TRUE(tried.insert(*to).second) << "a second try of " << *to;
-    to = SentTo(scene.End(2, *to, Status::kMiss, Role::kReplica, scene.now_ms() - 10), 2);
+    to = SentTo(scene.End(2, *to, Status::kStaleOrWrongRole, Role::kReplica, scene.now_ms() - 10), 2);
   }
   ASSERT_EQ(to, 3u);
   scene.End(2, 3, Status::kOk, Role::kPrimary, scene.now_ms());
@@ -61,7 +61,7 @@
   EXPECT_EQ((std::set<ServerId>{*first, *second, *third}).size(), 3u);
   EXPECT_FALSE(SentTo(scene.Arrive(4, kBoundedRead), 4));
   Settings off = FleetSettings();
-  off.guards = Guards::kOff;
+  off.staleness_guard = StalenessGuard::kOff;
   Scene unguarded(off);
   EXPECT_FALSE(SentTo(unguarded.Arrive(1, kBoundedRead), 1));
 }
@@ -84,9 +84,9 @@
   EXPECT_EQ(again, 0);
   // The others die: it is asked again.
   for (const ServerId other : {1u, 2u, 3u}) {
-    ListEntry gone = Ready(other);
+    EndpointEntry gone = Ready(other);
     gone.state = ServerState::kGone;
-    if (other != *slow) scene.List(ListKind::kDelta, {gone});
+    if (other != *slow) scene.List(EndpointListKind::kDelta, {gone});
   }
   scene.Pass(5 * kSecond);
   EXPECT_EQ(SentTo(scene.Arrive(20, kAnyRead), 20), *slow);
@@ -113,7 +113,7 @@
 // Guards against a crowded group that turns reads away alike, whatever they are worth.
 TEST(Fleet, ACrowdedGroupTakesTheReadsThatEarnMost) {
   Settings settings = FleetSettings();
-  settings.classes[kSessionRead].worth = 3;
+  settings.classes[kSessionRead].priority_weight = 3;
   Scene scene(settings);
   std::map<int, int> sent;
   for (RequestId id = 1; id <= 400; ++id) {
@@ -133,9 +133,9 @@
 // at their aim, and so have no further try, took the budget of those that could have one.
 TEST(Fleet, OnlyAFurtherTryThatCanFollowIsPaidFor) {
   Scene scene(FleetSettings());
-  std::vector<ListEntry> listed = {Ready(1), Ready(2), Ready(3), Ready(4)};
+  std::vector<EndpointEntry> listed = {Ready(1), Ready(2), Ready(3), Ready(4)};
   for (ServerId other = 11; other <= 16; ++other) listed.push_back(Ready(other, false, 1));
-  scene.List(ListKind::kCached, listed);
+  scene.List(EndpointListKind::kCached, listed);
   std::map<RequestId, ServerId> out;
   for (RequestId id = 1; id <= 6; ++id) {
     if (const auto to = SentTo(scene.Arrive(id, kAnyRead, 0, 1000 * kMs, 1), id)) out[id] = *to;
@@ -158,14 +158,14 @@
 // Guards against a read that goes round replicas which all lag, a wait and a connection at each.
 TEST(Fleet, AReadIsTurnedAwayThreeTimesAtMost) {
   Scene scene(FleetSettings());
-  scene.List(ListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
+  scene.List(EndpointListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
   auto to = SentTo(scene.Arrive(1, kBoundedRead), 1);
   int misses = 0;
   for (; to && misses < 10; ++misses) {
     scene.Pass(20 * kMs);
-    const auto actions = scene.End(1, *to, Status::kMiss, Role::kReplica, scene.now_ms() - 900);
+    const auto actions = scene.End(1, *to, Status::kStaleOrWrongRole, Role::kReplica, scene.now_ms() - 900);
     to = SentTo(actions, 1);
-    EXPECT_EQ(Only<Refuse>(actions).size(), to ? 0u : 1u);
+    EXPECT_EQ(Only<Reject>(actions).size(), to ? 0u : 1u);
   }
   EXPECT_EQ(misses, 3);
 }
@@ -173,7 +173,7 @@
 // Guards against connections to every server from every router: what answered of late is gone back to.
 TEST(Fleet, ARouterKeepsToTheServersThatItHasConnectionsTo) {
   Scene scene(FleetSettings());
-  scene.List(ListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
+  scene.List(EndpointListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
   std::set<ServerId> used;
   for (RequestId id = 1; id <= 30; ++id) {
     scene.Pass(kSecond);
@@ -192,20 +192,20 @@
   constexpr double kQuota = 240, kOffered = 200;  // a second, of three servers
   Settings settings = FleetSettings();
   settings.tenants = {{"all", kQuota, 1}};
-  settings.cold_from = 0.15;
-  settings.warm_after = 18 * kSecond;
-  settings.fall = 3 * kSecond;
-  settings.fall_multiple = 3;
+  settings.slow_start_fraction = 0.15;
+  settings.slow_start_window = 18 * kSecond;
+  settings.overload_window = 3 * kSecond;
+  settings.overload_multiple = 3;
   std::vector<std::unique_ptr<Scene>> routers;
   std::vector<double> weights;
   for (int i = 0; i < kRouters; ++i) {
     routers.push_back(std::make_unique<Scene>(settings, static_cast<std::uint64_t>(i)));
     weights.push_back(skewed ? 1.0 / (1 + i % 30) : 1.0);
-    ListEntry cold = Ready(3);
+    EndpointEntry cold = Ready(3);
     cold.boot_time = routers.back()->now();
-    ListEntry leaves = Ready(2);
+    EndpointEntry leaves = Ready(2);
     leaves.state = ServerState::kDraining;
-    routers.back()->List(ListKind::kDelta, {cold, leaves});
+    routers.back()->List(EndpointListKind::kDelta, {cold, leaves});
     routers.back()->Probed(1, 0, true);  // the primary takes no reads but in need
   }
   std::mt19937 random(7);
@@ -256,20 +256,21 @@
   constexpr int kRouters = 300;
   Settings settings = FleetSettings();
   settings.tenants = {{"all", 240, 1}};  // a second, of three servers
-  settings.cold_from = 0.15;
-  settings.warm_after = 18 * kSecond;
-  settings.fall = 3 * kSecond;
-  settings.fall_multiple = 3;
+  settings.slow_start_fraction = 0.15;
+  settings.slow_start_window = 18 * kSecond;
+  settings.overload_window = 3 * kSecond;
+  settings.overload_multiple = 3;
   int to_primary = 0, to_others = 0;
   for (int i = 0; i < kRouters; ++i) {
     Scene scene(settings, static_cast<std::uint64_t>(i));
     // The one probe that there is has been spent.
-    for (const Probe& asked : Only<Probe>(scene.Arrive(1, kFreshRead))) scene.Probed(asked.server, 0, false);
+    for (const CheckHealth& asked : Only<CheckHealth>(scene.Arrive(1, kFreshRead)))
+      scene.Probed(asked.server, 0, false);
     scene.Probed(1, 0, true);
     scene.End(1, 1, Status::kOk, Role::kPrimary, scene.now_ms());
-    ListEntry cold = Ready(1);
+    EndpointEntry cold = Ready(1);
     cold.boot_time = scene.now();
-    scene.List(ListKind::kDelta, {cold});
+    scene.List(EndpointListKind::kDelta, {cold});
     scene.Pass(900 * kMs);
     auto actions = scene.Arrive(2, kUnsafeWrite, 0, 5 * kSecond);
     const auto later = scene.Pass(2 * kSecond);
@@ -297,9 +298,9 @@
   if (id > 1) scene.End(1, 3, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
   scene.Pass(kMs);
   EXPECT_EQ(SentTo(scene.Arrive(id + 1, kAnyRead), id + 1), 3u);  // and is busy with it
-  ListEntry anew = Ready(2);
+  EndpointEntry anew = Ready(2);
   anew.boot_time = scene.now();
-  scene.List(ListKind::kDelta, {anew});
+  scene.List(EndpointListKind::kDelta, {anew});
   EXPECT_EQ(SentTo(scene.Arrive(id + 2, kAnyRead), id + 2), 2u);
 }
 
--- a/tests/invariants_test.cpp
+++ b/tests/invariants_test.cpp
@@ -26,8 +26,8 @@
 };
 
 struct Mode {
-  Guards guards;
-  bool second_copies;
+  StalenessGuard staleness_guard;
+  bool hedging_allowed;
   int seed;
 };
 
@@ -35,9 +35,9 @@
 
 TEST_P(InvariantsTest, HoldUnderRandomEvents) {
   Settings settings = TestSettings();
-  settings.guards = GetParam().guards;
-  settings.second_copies = GetParam().second_copies;
-  settings.catch_up_wait = settings.guards == Guards::kHold ? 50 * kMs : 0;
+  settings.staleness_guard = GetParam().staleness_guard;
+  settings.hedging_allowed = GetParam().hedging_allowed;
+  settings.catch_up_wait = settings.staleness_guard == StalenessGuard::kWait ? 50 * kMs : 0;
   std::mt19937 random(static_cast<unsigned>(GetParam().seed));
   const auto pick = [&](int n) { return static_cast<int>(random() % static_cast<unsigned>(n)); };
 
@@ -58,23 +58,25 @@
         const ClassSettings& c = settings.classes.at(static_cast<std::size_t>(o.class_index));
         ASSERT_FALSE(o.ended) << "sent after its end";
         ASSERT_TRUE(listed[send->server]) << "sent to a server that drains or is gone";
-        ASSERT_TRUE(settings.second_copies || o.out.empty()) << "two out at once";
+        ASSERT_TRUE(settings.hedging_allowed || o.out.empty()) << "two out at once";
         const bool may_have_run = o.maybe_ran || !o.out.empty();
-        ASSERT_FALSE(c.effect == Effect::kUnsafe && may_have_run) << "unsafe sent again";
-        if (c.effect == Effect::kKeyed && may_have_run) {
-          ASSERT_LE(scene.now() - o.first_maybe, c.repeat_window) << "keyed sent past its window";
+        ASSERT_FALSE(c.idempotency == Idempotency::kNone && may_have_run) << "unsafe sent again";
+        if (c.idempotency == Idempotency::kWithKey && may_have_run) {
+          ASSERT_LE(scene.now() - o.first_maybe, c.retry_window) << "keyed sent past its window";
         }
-        if (settings.guards == Guards::kOff && c.freshness == Freshness::kBounded && !excused[send->server]) {
-          ASSERT_GE(shown[send->server], scene.now() - c.bound) << "position not shown by " << send->server;
+        if (settings.staleness_guard == StalenessGuard::kOff && c.freshness == Freshness::kBounded &&
+            !excused[send->server]) {
+          ASSERT_GE(shown[send->server], scene.now() - c.staleness_bound)
+              << "position not shown by " << send->server;
         }
         if (!may_have_run) o.first_maybe = scene.now();
         o.out.push_back(o.sends);
         out.push_back({send->id, o.sends++, send->server});
-      } else if (const auto* refuse = std::get_if<Refuse>(&a)) {
+      } else if (const auto* refuse = std::get_if<Reject>(&a)) {
         Owed& o = owed.at(refuse->id);
         const ClassSettings& c = settings.classes.at(static_cast<std::size_t>(o.class_index));
         ASSERT_FALSE(o.ended);
-        ASSERT_TRUE(c.effect == Effect::kSafe || (!o.maybe_ran && o.out.empty()))
+        ASSERT_TRUE(c.idempotency == Idempotency::kIdempotent || (!o.maybe_ran && o.out.empty()))
             << "refused though it may have run";
         o.ended = true;
         ++answers;
@@ -111,9 +113,9 @@
                                    Status::kOk,
                                    Status::kOk,
                                    Status::kOk,
-                                   Status::kMiss,
+                                   Status::kStaleOrWrongRole,
                                    Status::kError,
-                                   Status::kFull,
+                                   Status::kOverloaded,
                                    Status::kTimeout,
                                    Status::kReset,
                                    Status::kOk,
@@ -128,7 +130,7 @@
             status == Status::kCancelled) {
           request.maybe_ran = true;
         }
-        const bool told = status == Status::kOk || status == Status::kMiss;
+        const bool told = status == Status::kOk || status == Status::kStaleOrWrongRole;
         const Micros position = (scene.now() - pick(800) * kMs) / kMs * kMs;
         const bool is_primary = o.server == primary;
         if (told && !is_primary) shown[o.server] = std::max(shown[o.server], position);
@@ -147,13 +149,13 @@
       }
       case 7: {
         const auto id = static_cast<ServerId>(1 + pick(5));
-        ListEntry e = Ready(id, id == 1);
+        EndpointEntry e = Ready(id, id == 1);
         e.state = static_cast<ServerState>(pick(3));
         if (pick(2) == 0) e.boot_time = scene.now() - pick(3000) * kMs;
         if (e.state == ServerState::kReady) listed[id] = true;
         if (e.state != ServerState::kReady) listed[id] = false;
         if (pick(20) == 0) excused[primary = static_cast<ServerId>(1 + pick(5))] = true;
-        check(scene.List(ListKind::kDelta, {e}));
+        check(scene.List(EndpointListKind::kDelta, {e}));
         break;
       }
       default:
@@ -161,7 +163,7 @@
         for (int left = pick(60); left > 0; --left) check(scene.Pass(kMs));
     }
     for (auto& [id, o] : owed) {
-      if (o.ended || scene.now() <= o.deadline + settings.answer_slack) continue;
+      if (o.ended || scene.now() <= o.deadline + settings.response_slack) continue;
       FAIL() << "request " << id << " was not answered in time";
     }
   }
@@ -170,7 +172,7 @@
 
 std::vector<Mode> AllModes() {
   std::vector<Mode> modes;
-  for (const Guards guards : {Guards::kOff, Guards::kRefuse, Guards::kHold}) {
+  for (const StalenessGuard guards : {StalenessGuard::kOff, StalenessGuard::kReject, StalenessGuard::kWait}) {
     for (const bool second : {false, true}) {
       for (int seed = 1; seed <= 6; ++seed) modes.push_back({guards, second, seed});
     }
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -43,7 +43,7 @@
     std::vector<tcp::socket> held;
     {
       Running node({acceptor.local_endpoint().port()}, 512, 1, [](Config& config) {
-        config.settings.classes[0].effect = Effect::kUnsafe;
+        config.settings.classes[0].idempotency = Idempotency::kNone;
         config.connect_timeout = 20'000'000;
       });
       std::vector<Peer> peers;
@@ -98,7 +98,7 @@
   });
   {
     Running node({server.port()}, 256, 1,
-                 [](Config& config) { config.settings.classes[0].effect = Effect::kUnsafe; });
+                 [](Config& config) { config.settings.classes[0].idempotency = Idempotency::kNone; });
     std::string more;
     for (int i = 0; more.size() < 150'000; ++i) more += Ask("m" + std::to_string(i));
     Peer client = node.Session();
@@ -139,8 +139,8 @@
 // Guards against a request whose attempt could not connect and that is sent again after its client has left;
 // the one beside it shows that there was a further try to be had.
 TEST_F(Leaving, WhileItIsHeldForAFurtherTry) {
-  Settings settings = Rig::OneClass(Effect::kUnsafe);
-  settings.classes[0].aim = 800'000;
+  Settings settings = Rig::OneClass(Idempotency::kNone);
+  settings.classes[0].latency_objective = 800'000;
   HeldServer server;
   Rig rig(settings);
   rig.Know({Rig::Listed("a", server.port())});
@@ -161,9 +161,9 @@
 
 // Guards against a read that waits for a replica to catch up and goes there after its client has left.
 TEST_F(Leaving, WhileItIsHeldForCatchUp) {
-  Settings settings = Rig::OneClass(Effect::kSafe);
+  Settings settings = Rig::OneClass(Idempotency::kIdempotent);
   settings.classes[0].freshness = Freshness::kSession;
-  settings.classes[0].aim = 800'000;
+  settings.classes[0].latency_objective = 800'000;
   settings.token_mode = TokenMode::kCarried;
   HeldServer server;
   Rig rig(settings);
@@ -187,7 +187,7 @@
 TEST_F(Leaving, WhileItWaitsForRoomForALargeStatement) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
+  Exchange exchange({Rig::OneClass(Idempotency::kNone), 1, {}, {}, 1'000'000});
   exchange.Start(clock.Now(), Listing{1, true, {}});
   const Service service;
   ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 100, 1 << 20, 1 << 20}});
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -15,9 +15,9 @@
 
 Settings AskSettings(int gateways) {
   Settings s = TestSettings();
-  s.ask_for_list = true;
-  s.ask_within = 10 * kSecond;
-  s.gateways = gateways;
+  s.poll_endpoint_list = true;
+  s.max_list_age = 10 * kSecond;
+  s.router_count = gateways;
   return s;
 }
 
@@ -77,8 +77,8 @@
 TEST(ListPace, AnAgentIsAskedAgainInAPartOfTheGraceAndASilentWatchIsOpenedAnewInTime) {
   for (const Micros grace : {0 * kMs, 50 * kMs, 250 * kMs, 2000 * kMs, 9000 * kMs}) {
     Settings pushed = AskSettings(300);
-    pushed.ask_for_list = false;
-    pushed.drain_grace = grace;
+    pushed.poll_endpoint_list = false;
+    pushed.drain_timeout = grace;
     ListPace agent(pushed, 7);
     const Micros first = agent.AfterFailure();
     for (int i = 0; i < 20; ++i) EXPECT_EQ(agent.AfterFailure(), first);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -321,7 +321,7 @@
     config.settings.classes.push_back(config.settings.classes[0]);
     config.settings.classes[1].name = "put";
     config.settings.classes[1].freshness = Freshness::kWrite;
-    config.settings.listed_role = ListedRole::kStart;
+    config.settings.listed_role = ListedRole::kInitial;
     config.known.servers[0].leads = true;
     config.memory_bytes = std::size_t{48} << 20;
     config.connect_timeout = 5'000'000;  // the loop may be busy with these for longer than usual
@@ -714,7 +714,7 @@
       Settings settings;
       settings.classes.resize(1);
       settings.classes[0].name = "any";
-      settings.classes[0].aim = settings.classes[0].deadline = 100'000;
+      settings.classes[0].latency_objective = settings.classes[0].deadline = 100'000;
       settings.retry_after = told;
       settings.max_retry_after = 500'000;
       Exchange exchange({settings, 1, {}, {}, 1'000'000});
--- a/tests/pg_test.cpp
+++ b/tests/pg_test.cpp
@@ -206,12 +206,11 @@
   EXPECT_EQ(outcome->position_unix_ms, 1767225600123);
   EXPECT_EQ(outcome->served.value, GetParam().code ? "" : std::string("\0v", 2));
 }
-INSTANTIATE_TEST_SUITE_P(Table, AnswerTest,
-                         testing::Values(AnswerCase{nullptr, Status::kOk}, AnswerCase{"25006", Status::kMiss},
-                                         AnswerCase{"72000", Status::kMiss},
-                                         AnswerCase{"XX000", Status::kError},
-                                         AnswerCase{"53300", Status::kFull},
-                                         AnswerCase{"57P03", Status::kError}));
+INSTANTIATE_TEST_SUITE_P(
+    Table, AnswerTest,
+    testing::Values(AnswerCase{nullptr, Status::kOk}, AnswerCase{"25006", Status::kStaleOrWrongRole},
+                    AnswerCase{"72000", Status::kStaleOrWrongRole}, AnswerCase{"XX000", Status::kError},
+                    AnswerCase{"53300", Status::kOverloaded}, AnswerCase{"57P03", Status::kError}));
 
 // Guards against answers that say more, or less, than one row.
 TEST(Answer, OutOfOrderIsGarbageAndAnUnfinishedOneIsNone) {
@@ -231,7 +230,7 @@
     AnswerReader reader(query);
     reader.Take({'E', std::string_view("SFATAL\0C57P03\0Mbusy\0\0", 21)});
     const bool probe = query == AnswerReader::Query::kProbe;
-    EXPECT_EQ(reader.Settled()->status, probe ? Status::kFull : Status::kError);
+    EXPECT_EQ(reader.Settled()->status, probe ? Status::kOverloaded : Status::kError);
   }
 }
 
--- a/tests/policy/action_oracle_test.cpp
+++ b/tests/policy/action_oracle_test.cpp
@@ -72,7 +72,7 @@
     hash.Add(action.server);
     hash.Add(Bits(action.timeout));
   }
-  void operator()(const Refuse& action) const {
+  void operator()(const Reject& action) const {
     hash.Add(action.id);
     hash.Add(Bits(action.retry_after));
   }
@@ -85,15 +85,15 @@
     hash.Add(Bits(action.delay));
     hash.Add(action.token);
   }
-  void operator()(const Probe& action) const { hash.Add(action.server); }
+  void operator()(const CheckHealth& action) const { hash.Add(action.server); }
   void operator()(const CloseIdle& action) const { hash.Add(action.server); }
-  void operator()(const TellPeers& action) const {
+  void operator()(const Gossip& action) const {
     hash.Add(Bits(action.peer.value_or(-1)));
     hash.Add(action.bytes);
   }
   void operator()(const Log& action) const { hash.Add(action.text); }
-  void operator()(const WatchList& action) const { hash.Add(action.on ? 1 : 0); }
-  void operator()(const FetchList&) const {}
+  void operator()(const WatchEndpointList& action) const { hash.Add(action.on ? 1 : 0); }
+  void operator()(const FetchEndpointList&) const {}
 };
 
 // How the servers behave for a while.
@@ -147,12 +147,12 @@
   void StartList() {
     EndpointList list;
     for (ServerId id = 1; id <= 7; ++id) list.push_back(EntryOf(id, id == 1 || id == 6));
-    Take(ListNews{ListKind::kCached, 1, list});
+    Take(EndpointListUpdate{EndpointListKind::kCached, 1, list});
   }
-  using EndpointList = std::vector<ListEntry>;
+  using EndpointList = std::vector<EndpointEntry>;
 
-  ListEntry EntryOf(ServerId id, bool primary) const {
-    ListEntry entry = Ready(IdOf(id), primary, id < 6 ? 0 : 1);
+  EndpointEntry EntryOf(ServerId id, bool primary) const {
+    EndpointEntry entry = Ready(IdOf(id), primary, id < 6 ? 0 : 1);
     entry.zone = static_cast<int>(id % 3);
     return entry;
   }
@@ -187,8 +187,8 @@
     if (random_.OneIn(200)) event.group = 9;
     event.key = static_cast<std::uint64_t>(random_.Below(25));
     event.remaining = random_.OneIn(4) ? random_.Below(900) * kMs : kSecond;
-    if (random_.OneIn(2)) event.wrote_ms_ago = random_.Below(300000) / 256.0;
-    event.repeat = random_.OneIn(5);
+    if (random_.OneIn(2)) event.ms_since_write = random_.Below(300000) / 256.0;
+    event.is_retry = random_.OneIn(5);
     requests_[event.id].class_index = event.class_index;
     Take(event);
   }
@@ -207,28 +207,30 @@
     event.status = DrawStatus(attempt.server, request.class_index);
     event.elapsed = now_ - attempt.sent;
     if (random_.OneIn(50)) event.elapsed = random_.Below(2000) * kMs;
-    event.over = event.status == Status::kOk || request.ended || random_.OneIn(40);
-    const bool told = event.status == Status::kOk || event.status == Status::kMiss;
+    event.request_ended = event.status == Status::kOk || request.ended || random_.OneIn(40);
+    const bool told = event.status == Status::kOk || event.status == Status::kStaleOrWrongRole;
     if (told && !random_.OneIn(10)) {
       event.role = IsPrimary(attempt.server) ? Role::kPrimary : Role::kReplica;
       event.position_ms = Advance(attempt.server) / kMs;
     }
-    if (told && settings_.reports == ReportVia::kAnswers) event.report = DrawReport(attempt.server);
-    if (event.over) request.ended = true;
+    if (told && settings_.load_report_source == LoadReportSource::kResponses)
+      event.report = DrawReport(attempt.server);
+    if (event.request_ended) request.ended = true;
     Take(event);
   }
 
   Status DrawStatus(ServerId server, int class_index) {
-    static constexpr Status kFaults[] = {Status::kMiss,  Status::kError,         Status::kFull,
-                                         Status::kReset, Status::kConnectFailed, Status::kTimeout,
-                                         Status::kMoot,  Status::kCancelled};
+    static constexpr Status kFaults[] = {
+        Status::kStaleOrWrongRole, Status::kError,   Status::kOverloaded, Status::kReset,
+        Status::kConnectFailed,    Status::kTimeout, Status::kNotSent,    Status::kCancelled};
     const bool write = class_index >= 4;
-    if (write && !IsPrimary(server)) return Status::kMiss;
+    if (write && !IsPrimary(server)) return Status::kStaleOrWrongRole;
     const bool faulty = server == faulty_;
     if (phase_ == kFaultyServer && faulty) return random_.OneIn(2) ? Status::kReset : Status::kError;
     if (phase_ == kUnreachable && faulty) return random_.OneIn(2) ? Status::kTimeout : Status::kReset;
-    if (phase_ == kCrowded && random_.OneIn(4)) return random_.OneIn(2) ? Status::kFull : Status::kTimeout;
-    if (phase_ == kLagging && random_.OneIn(2)) return Status::kMiss;
+    if (phase_ == kCrowded && random_.OneIn(4))
+      return random_.OneIn(2) ? Status::kOverloaded : Status::kTimeout;
+    if (phase_ == kLagging && random_.OneIn(2)) return Status::kStaleOrWrongRole;
     const int chance = phase_ == kFailing ? 2 : 15;
     return random_.OneIn(chance) ? kFaults[random_.Below(8)] : Status::kOk;
   }
@@ -237,7 +239,7 @@
   // Moves the position that the server has applied, and returns it.
   Micros Advance(ServerId server) {
     Micros& position = position_[server];
-    const Micros behind = now_ - settings_.origin - position;
+    const Micros behind = now_ - settings_.position_epoch - position;
     const bool stands = phase_ == kLagging && server % 2 == 0;
     if (!stands && behind > 0) position += behind * (50 + random_.Below(51)) / 100;
     return position;
@@ -259,7 +261,7 @@
   }
 
   void EndProbe() {
-    ProbeEnded event;
+    HealthCheckEnded event;
     event.server = static_cast<ServerId>(1 + random_.Below(kServers + 1));
     if (!probes_.empty()) {
       const int index = random_.Below(static_cast<int>(probes_.size()));
@@ -269,7 +271,7 @@
       return;
     }
     const bool fails = phase_ == kUnreachable && event.server == faulty_;
-    if (fails || random_.OneIn(20)) event.status = random_.OneIn(3) ? Status::kFull : Status::kTimeout;
+    if (fails || random_.OneIn(20)) event.status = random_.OneIn(3) ? Status::kOverloaded : Status::kTimeout;
     event.elapsed = random_.Below(20) * kMs;
     if (event.status == Status::kOk && event.server <= kServers) event.report = DrawReport(event.server);
     event.server = IdOf(event.server);
@@ -277,22 +279,23 @@
   }
 
   void ChangeList() {
-    static constexpr ListKind kKinds[] = {ListKind::kDelta, ListKind::kDelta,  ListKind::kDelta,
-                                          ListKind::kFull,  ListKind::kCached, ListKind::kFailed};
-    ListNews event;
+    static constexpr EndpointListKind kKinds[] = {EndpointListKind::kDelta,  EndpointListKind::kDelta,
+                                                  EndpointListKind::kDelta,  EndpointListKind::kFull,
+                                                  EndpointListKind::kCached, EndpointListKind::kFailed};
+    EndpointListUpdate event;
     event.kind = kKinds[random_.Below(6)];
     event.version = ++list_version_;
-    const bool whole = event.kind == ListKind::kFull || event.kind == ListKind::kCached;
+    const bool whole = event.kind == EndpointListKind::kFull || event.kind == EndpointListKind::kCached;
     const int first = whole ? 1 : 1 + random_.Below(kServers);
     const int last = whole ? kServers : first;
-    for (int id = first; id <= last && event.kind != ListKind::kFailed; ++id) {
+    for (int id = first; id <= last && event.kind != EndpointListKind::kFailed; ++id) {
       if (whole && random_.OneIn(8)) continue;
       event.entries.push_back(DrawEntry(static_cast<ServerId>(id), whole));
     }
     Take(event);
   }
-  ListEntry DrawEntry(ServerId id, bool whole) {
-    ListEntry entry = EntryOf(id, IsPrimary(id));
+  EndpointEntry DrawEntry(ServerId id, bool whole) {
+    EndpointEntry entry = EntryOf(id, IsPrimary(id));
     if (random_.OneIn(whole ? 12 : 3)) {
       entry.state = random_.OneIn(2) ? ServerState::kDraining : ServerState::kGone;
     }
@@ -306,28 +309,28 @@
     const RequestId id = newest_request_ > back ? newest_request_ - back : 1;
     requests_[id].ended = true;
     if (random_.OneIn(4)) return Take(TimerFired{id});
-    Take(RequestGone{id});
+    Take(RequestCancelled{id});
   }
 
   void OtherEvent() {
     const ServerId server = IdOf(static_cast<ServerId>(1 + random_.Below(kServers + 1)));
-    const Micros position = now_ - settings_.origin - random_.Below(400) * kMs;
+    const Micros position = now_ - settings_.position_epoch - random_.Below(400) * kMs;
     switch (random_.Below(6)) {
       case 0: {
         const auto key = static_cast<std::uint64_t>(random_.Below(25));
-        return Take(SessionWrote{key, random_.Below(kGroups), position / kMs});
+        return Take(SessionCommit{key, random_.Below(kGroups), position / kMs});
       }
       case 1: {
         const Role role = static_cast<Role>(random_.Below(3));
         const Micros role_time = now_ - random_.Below(1000) * kMs;
-        return Take(ServerShown{server, role, role_time, random_.OneIn(4) ? 0 : position / kMs});
+        return Take(ServerObservation{server, role, role_time, random_.OneIn(4) ? 0 : position / kMs});
       }
       case 2:
-        return Take(SessionsKnown{false, false});
+        return Take(SessionSync{false, false});
       case 3:
-        return Take(SessionsKnown{true, random_.OneIn(4)});
+        return Take(SessionSync{true, random_.OneIn(4)});
       case 4:
-        return Take(AnswerBegun{newest_request_, 0, server});
+        return Take(ResponseStarted{newest_request_, 0, server});
       default:
         return Take(PeerMessage{1, "bytes"});
     }
@@ -358,23 +361,23 @@
     std::visit(FieldHasher{hash_}, action);
     if (const auto* timer = std::get_if<SetTimer>(&action))
       timers_.emplace(now_ + timer->delay, timer->token);
-    if (const auto* probe = std::get_if<Probe>(&action)) probes_.push_back(NumberOf(probe->server));
+    if (const auto* probe = std::get_if<CheckHealth>(&action)) probes_.push_back(NumberOf(probe->server));
     if (const auto* send = std::get_if<Send>(&action)) {
       attempts_.push_back({send->id, requests_[send->id].sends++, NumberOf(send->server), now_});
     }
-    if (const auto* refuse = std::get_if<Refuse>(&action)) requests_[refuse->id].ended = true;
+    if (const auto* refuse = std::get_if<Reject>(&action)) requests_[refuse->id].ended = true;
     if (const auto* fail = std::get_if<Fail>(&action)) requests_[fail->id].ended = true;
   }
   // What the Router tells when asked.
   void HashQueries() {
     for (ServerId id = 1; id <= kServers + 1; ++id) {
       hash_.Add(router_.avoids(now_, IdOf(id)) ? 1 : 0);
-      const ServerShown shown = router_.shown(IdOf(id));
+      const ServerObservation shown = router_.observation(IdOf(id));
       hash_.Add(static_cast<std::uint64_t>(shown.role));
       hash_.Add(Bits(shown.role_time));
       hash_.Add(Bits(shown.position_ms));
     }
-    for (const SessionWrote& session : router_.sessions(0)) {
+    for (const SessionCommit& session : router_.known_commits(0)) {
       hash_.Add(session.key);
       hash_.Add(Bits(session.group));
       hash_.Add(Bits(session.position_ms));
@@ -410,12 +413,12 @@
 Settings QueueReports() { return WithQueueReports(TestSettings()); }
 Settings RejectingGuards() {
   Settings settings = QueueReports();
-  settings.guards = Guards::kRefuse;
+  settings.staleness_guard = StalenessGuard::kReject;
   return settings;
 }
 Settings HoldingGuards() {
   Settings settings = QueueReports();
-  settings.guards = Guards::kHold;
+  settings.staleness_guard = StalenessGuard::kWait;
   settings.catch_up_wait = 50 * kMs;
   return settings;
 }
@@ -427,60 +430,60 @@
 }
 Settings ManyRouters() {
   Settings settings = HoldingGuards();
-  settings.gateways = 200;
-  settings.me = 17;
+  settings.router_count = 200;
+  settings.router_index = 17;
   settings.zone = 1;
-  settings.cross_zone_price = 0.1;
+  settings.cross_zone_cost = 0.1;
   settings.tenants = {{"first", 400, 0.5}, {"second", 200, 0.5}};
   return settings;
 }
 Settings NoProbes() {
   Settings settings = TestSettings();
-  settings.may_probe = false;
-  settings.may_cancel = false;
+  settings.health_checks_allowed = false;
+  settings.cancel_allowed = false;
   settings.retry_after = false;
   settings.max_attempts = 0;
-  settings.guards = Guards::kRefuse;
-  settings.listed_role = ListedRole::kNone;
+  settings.staleness_guard = StalenessGuard::kReject;
+  settings.listed_role = ListedRole::kNever;
   return settings;
 }
 Settings ReportsInAnswers() {
   Settings settings = QueueReports();
-  settings.reports = ReportVia::kAnswers;
-  settings.listed_role = ListedRole::kLate;
-  settings.origin = 40 * kSecond;
+  settings.load_report_source = LoadReportSource::kResponses;
+  settings.listed_role = ListedRole::kDelayed;
+  settings.position_epoch = 40 * kSecond;
   return settings;
 }
 Settings PolledList() {
   Settings settings = QueueReports();
-  settings.ask_for_list = true;
-  settings.ask_within = 4 * kSecond;
+  settings.poll_endpoint_list = true;
+  settings.max_list_age = 4 * kSecond;
   settings.only_draining_binds = true;
   return settings;
 }
 Settings LateAnswersCount() {
   Settings settings = RejectingGuards();
-  for (ClassSettings& c : settings.classes) c.late_worth = 0.3;
-  settings.classes[4].repeat_group = RepeatGroup::kAll;
-  settings.classes[0].worth = 3;
+  for (ClassSettings& c : settings.classes) c.late_weight = 0.3;
+  settings.classes[4].retry_scope = RetryScope::kAll;
+  settings.classes[0].priority_weight = 3;
   settings.tenants = {{"only", 1000, 1}};
-  settings.gateways = 3;
+  settings.router_count = 3;
   return settings;
 }
 Settings LongWarmUp() {
   Settings settings = QueueReports();
-  settings.cold_from = 0.05;
-  settings.warm_after = 60 * kSecond;
-  settings.fall_multiple = 3;
+  settings.slow_start_fraction = 0.05;
+  settings.slow_start_window = 60 * kSecond;
+  settings.overload_multiple = 3;
   settings.tenants = {{"only", 300, 1}};
   return settings;
 }
 Settings NoSlowStart() {
   Settings settings = HoldingGuards();
-  settings.warm_after = 0;
-  settings.fall = 0;
-  settings.tick = 0;
-  settings.ask_for_list = true;
+  settings.slow_start_window = 0;
+  settings.overload_window = 0;
+  settings.clock_resolution = 0;
+  settings.poll_endpoint_list = true;
   settings.max_attempts = 2;
   return settings;
 }
@@ -535,12 +538,12 @@
     for (std::size_t kind = 0; kind < kinds.size(); ++kind) kinds[kind] += outcome.kinds[kind];
   }
   EXPECT_GT(kinds[Action(Send{}).index()], 10000);
-  EXPECT_GT(kinds[Action(Refuse{}).index()], 1000);
+  EXPECT_GT(kinds[Action(Reject{}).index()], 1000);
   EXPECT_GT(kinds[Action(Fail{}).index()], 100);
   EXPECT_GT(kinds[Action(Cancel{}).index()], 100);
   EXPECT_GT(kinds[Action(SetTimer{}).index()], 10000);
-  EXPECT_GT(kinds[Action(Probe{}).index()], 1000);
-  EXPECT_GT(kinds[Action(WatchList{}).index()], 10);
+  EXPECT_GT(kinds[Action(CheckHealth{}).index()], 1000);
+  EXPECT_GT(kinds[Action(WatchEndpointList{}).index()], 10);
 }
 
 }  // namespace
--- a/tests/readme_example_test.cpp
+++ b/tests/readme_example_test.cpp
@@ -21,13 +21,13 @@
   // The example begins.
 tulipyoke::Settings settings;
 settings.classes.emplace_back();
-settings.classes[0].aim = 300'000;
+settings.classes[0].latency_objective = 300'000;
 tulipyoke::Router router(settings, 1);
 std::vector<tulipyoke::Action> actions;
-tulipyoke::ListEntry server;
+tulipyoke::EndpointEntry server;
 server.server = 7;
 server.state = tulipyoke::ServerState::kReady;
-router.handle(0, tulipyoke::ListNews{tulipyoke::ListKind::kCached, 1, {server}}, actions);
+router.handle(0, tulipyoke::EndpointListUpdate{tulipyoke::EndpointListKind::kCached, 1, {server}}, actions);
 tulipyoke::RequestArrived request;
 request.id = 42;
 request.remaining = 300'000;
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -25,17 +25,17 @@
 
 class Rig {
  public:
-  static Settings OneClass(Effect effect) {
+  static Settings OneClass(Idempotency effect) {
     Settings settings;
     ClassSettings c;
     c.name = "any";
-    c.aim = c.deadline = 20'000'000;
-    c.effect = effect;
-    c.repeat_window = 20'000'000;
+    c.latency_objective = c.deadline = 20'000'000;
+    c.idempotency = effect;
+    c.retry_window = 20'000'000;
     settings.classes.push_back(c);
     return settings;
   }
-  explicit Rig(const Settings& settings = OneClass(Effect::kUnsafe), Micros idle_close = 60'000'000)
+  explicit Rig(const Settings& settings = OneClass(Idempotency::kNone), Micros idle_close = 60'000'000)
       : exchange({settings, 1, {}, {}, 20'000'000}), pool(io, clock, exchange, {20'000'000, idle_close, 8}) {}
   ~Rig() { pool.Stop(); }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -19,13 +19,13 @@
 // Servers hold a read that they are too far behind for.
 Settings HoldSettings() {
   Settings s = TestSettings();
-  s.guards = Guards::kHold;
+  s.staleness_guard = StalenessGuard::kWait;
   s.catch_up_wait = 50 * kMs;
   return s;
 }
 bool Refused(const std::vector<Action>& actions, RequestId id) {
-  const auto refusals = Only<Refuse>(actions);
-  return std::any_of(refusals.begin(), refusals.end(), [&](const Refuse& r) { return r.id == id; });
+  const auto refusals = Only<Reject>(actions);
+  return std::any_of(refusals.begin(), refusals.end(), [&](const Reject& r) { return r.id == id; });
 }
 bool Failed(const std::vector<Action>& actions, RequestId id) {
   const auto failures = Only<Fail>(actions);
@@ -38,7 +38,7 @@
   e.id = id;
   e.class_index = kSessionRead;
   e.remaining = kSecond;
-  e.wrote_ms_ago = wrote_ms_ago;
+  e.ms_since_write = wrote_ms_ago;
   return scene.Take(e);
 }
 
@@ -48,12 +48,12 @@
 TEST(Processes, UnknownSessionsReadThePresent) {
   Scene scene;
   Settle(scene, 30 * kMs, 30 * kMs);
-  scene.Take(SessionsKnown{.known = false});
+  scene.Take(SessionSync{.complete = false});
   EXPECT_FALSE(SentTo(scene.Arrive(1, kSessionRead, 77), 1));
-  scene.Take(SessionsKnown{.known = true});
+  scene.Take(SessionSync{.complete = true});
   EXPECT_TRUE(SentTo(scene.Arrive(2, kSessionRead, 77), 2));
-  scene.Take(SessionsKnown{.known = false});
-  scene.Take(SessionsKnown{.known = true, .lost = true});
+  scene.Take(SessionSync{.complete = false});
+  scene.Take(SessionSync{.complete = true, .lost = true});
   EXPECT_FALSE(SentTo(scene.Arrive(3, kSessionRead, 77), 3));
 }
 
@@ -62,14 +62,14 @@
   Scene scene;
   Settle(scene, 30 * kMs, 30 * kMs);
   const std::int64_t present = scene.now_ms();
-  scene.Take(SessionWrote{77, 0, present - 10});
+  scene.Take(SessionCommit{77, 0, present - 10});
   EXPECT_FALSE(SentTo(scene.Arrive(1, kSessionRead, 77), 1));
   EXPECT_TRUE(SentTo(scene.Arrive(2, kSessionRead, 78), 2));
-  ASSERT_EQ(scene.router().sessions(77).size(), 1u);
-  EXPECT_EQ(scene.router().sessions(77)[0].position_ms, present - 10);
-  scene.Take(SessionWrote{0, 0, present - 10});
+  ASSERT_EQ(scene.router().known_commits(77).size(), 1u);
+  EXPECT_EQ(scene.router().known_commits(77)[0].position_ms, present - 10);
+  scene.Take(SessionCommit{0, 0, present - 10});
   EXPECT_FALSE(SentTo(scene.Arrive(3, kSessionRead, 79), 3));
-  EXPECT_EQ(scene.router().sessions(0).size(), 2u);  // the session and the group's floor
+  EXPECT_EQ(scene.router().known_commits(0).size(), 2u);  // the session and the group's floor
 }
 
 // ---- Scoring ----
@@ -158,7 +158,7 @@
   Settle(scene, 600 * kMs, 700 * kMs);
   const auto held = scene.Arrive(1, kBoundedRead);
   EXPECT_FALSE(SentTo(held, 1));
-  EXPECT_EQ(Only<Probe>(held).size(), 1u);         // one probe, of the replica it waits on
+  EXPECT_EQ(Only<CheckHealth>(held).size(), 1u);   // one probe, of the replica it waits on
   EXPECT_FALSE(SentTo(scene.Pass(150 * kMs), 1));  // prediction alone is not enough
   EXPECT_EQ(SentTo(scene.Probed(2, 50 * kMs), 1), 2u);
 }
@@ -167,7 +167,7 @@
   Scene scene;
   Settle(scene, 600 * kMs, 5 * kSecond);
   std::size_t probes = 0;
-  for (RequestId id = 1; id <= 5; ++id) probes += Only<Probe>(scene.Arrive(id, kBoundedRead)).size();
+  for (RequestId id = 1; id <= 5; ++id) probes += Only<CheckHealth>(scene.Arrive(id, kBoundedRead)).size();
   EXPECT_EQ(probes, 1u);
   EXPECT_EQ(Only<Send>(scene.Probed(2, 0)).size(), 5u);
 }
@@ -181,7 +181,7 @@
 // A gateway that is asked seldom has only old showings; the server's own check makes the prediction safe.
 TEST(Freshness, RefuseSendsOnPredictionOneAtATime) {
   Settings s = TestSettings();
-  s.guards = Guards::kRefuse;
+  s.staleness_guard = StalenessGuard::kReject;
   s.token_mode = TokenMode::kCarried;
   Scene scene(s);
   Settle(scene, 520 * kMs, 3 * kSecond);
@@ -216,7 +216,7 @@
   Scene scene;
   Settle(scene);
   scene.Arrive(1, kKeyedWrite, 77);
-  scene.Take(RequestGone{1});
+  scene.Take(RequestCancelled{1});
   scene.Pass(20 * kMs);
   scene.End(1, 1, Status::kOk, Role::kPrimary, scene.now_ms());
   EXPECT_FALSE(SentTo(scene.Arrive(2, kSessionRead, 77), 2));
@@ -235,7 +235,7 @@
 TEST(Freshness, AbsurdPositionsShowNothing) {
   for (const float x0 : {1e30F, -5.0F, 0.0F, std::numeric_limits<float>::quiet_NaN(), 101.0F}) {
     Scene scene;
-    ProbeEnded e;
+    HealthCheckEnded e;
     e.server = 2;
     e.report = {x0, 0.0F};
     scene.Take(e);
@@ -256,7 +256,7 @@
 // A rate seen at zero must not keep a replica from being tried for ever.
 TEST(Freshness, ARateNotConfirmedFadesToOne) {
   Scene scene(HoldSettings());
-  scene.List(ListKind::kFull, {Ready(1, true), Ready(2)});
+  scene.List(EndpointListKind::kFull, {Ready(1, true), Ready(2)});
   Settle(scene);
   const auto to = SentTo(scene.Arrive(1, kAnyRead), 1);
   scene.Pass(100 * kMs);
@@ -281,7 +281,7 @@
   Scene scene;
   scene.Arrive(1, kUnsafeWrite);
   scene.Pass(kMs);
-  const auto miss = scene.End(1, 1, Status::kMiss, Role::kReplica, scene.now_ms() - 10);
+  const auto miss = scene.End(1, 1, Status::kStaleOrWrongRole, Role::kReplica, scene.now_ms() - 10);
   EXPECT_FALSE(SentTo(miss, 1));
   EXPECT_EQ(SentTo(scene.Probed(3, 0, true), 1), 3u);
   EXPECT_EQ(SentTo(scene.Arrive(2, kKeyedWrite), 2), 3u);
@@ -296,7 +296,7 @@
 
 TEST(Primary, HeldWriteIsRefusedBeforeItsTimeIsUp) {
   Scene scene;
-  scene.List(ListKind::kFull, {Ready(2), Ready(3)});
+  scene.List(EndpointListKind::kFull, {Ready(2), Ready(3)});
   scene.Arrive(1, kUnsafeWrite);
   const auto actions = scene.Pass(kSecond);
   EXPECT_TRUE(Refused(actions, 1));
@@ -310,12 +310,12 @@
 TEST(Primary, AWriteThatNobodyCanTakeIsRefusedBeforeHalfItsTime) {
   Scene scene;
   scene.Arrive(1, kKeyedWrite);
-  scene.End(1, 1, Status::kMiss, Role::kReplica);
+  scene.End(1, 1, Status::kStaleOrWrongRole, Role::kReplica);
   ASSERT_FALSE(SentTo(scene.Arrive(2, kKeyedWrite), 2));
   EXPECT_FALSE(Refused(scene.Pass(400 * kMs), 2));
   const auto actions = scene.Pass(100 * kMs);
   ASSERT_TRUE(Refused(actions, 2));
-  for (const Refuse& r : Only<Refuse>(actions)) EXPECT_GT(r.retry_after, 0);
+  for (const Reject& r : Only<Reject>(actions)) EXPECT_GT(r.retry_after, 0);
 }
 
 struct EffectCase {
@@ -345,13 +345,13 @@
   EXPECT_TRUE(c.resent || Refused(actions, 1) || Failed(actions, 1));
 }
 INSTANTIATE_TEST_SUITE_P(All, EffectTest,
-                         testing::Values(EffectCase{kAnyRead, Status::kFull, true, true},
+                         testing::Values(EffectCase{kAnyRead, Status::kOverloaded, true, true},
                                          EffectCase{kAnyRead, Status::kReset, true, true},
                                          EffectCase{kAnyRead, Status::kError, true, true},
                                          EffectCase{kKeyedWrite, Status::kConnectFailed, true, true},
                                          EffectCase{kKeyedWrite, Status::kReset, true, false},
                                          EffectCase{kKeyedWrite, Status::kError, true, false},
-                                         EffectCase{kUnsafeWrite, Status::kFull, true, true},
+                                         EffectCase{kUnsafeWrite, Status::kOverloaded, true, true},
                                          EffectCase{kUnsafeWrite, Status::kConnectFailed, true, true},
                                          EffectCase{kUnsafeWrite, Status::kReset, false, false},
                                          EffectCase{kUnsafeWrite, Status::kError, false, false},
@@ -371,15 +371,15 @@
 TEST(Effects, MootEndsTheRequest) {
   Scene scene;
   const auto to = *SentTo(scene.Arrive(1, kAnyRead), 1);
-  EXPECT_TRUE(Refused(scene.End(1, to, Status::kMoot), 1));
+  EXPECT_TRUE(Refused(scene.End(1, to, Status::kNotSent), 1));
 }
 
 TEST(Effects, EveryRequestIsAnsweredOnceByItsOwnDeadline) {
   Scene scene;
   scene.Arrive(1, kAnyRead, 0, 300 * kMs);  // shorter than the class's deadline
   const auto actions = scene.Pass(310 * kMs);
-  EXPECT_EQ(Only<Refuse>(actions).size() + Only<Fail>(actions).size(), 1u);
-  EXPECT_TRUE(Only<Refuse>(scene.Pass(kSecond)).empty());
+  EXPECT_EQ(Only<Reject>(actions).size() + Only<Fail>(actions).size(), 1u);
+  EXPECT_TRUE(Only<Reject>(scene.Pass(kSecond)).empty());
 }
 
 // ---- Health ----
@@ -390,7 +390,7 @@
   const auto silent = *SentTo(scene.Arrive(1, kAnyRead), 1);
   scene.Pass(390 * kMs);
   const auto after = scene.End(1, silent, Status::kTimeout, Role::kUnknown, {}, -1, true, 390 * kMs);
-  EXPECT_EQ(Only<Probe>(after).size(), 1u);
+  EXPECT_EQ(Only<CheckHealth>(after).size(), 1u);
   for (RequestId id = 2; id < 8; ++id) EXPECT_NE(SentTo(scene.Arrive(id, kAnyRead), id), silent);
 }
 
@@ -401,7 +401,7 @@
   const auto to = *SentTo(scene.Arrive(1, kAnyRead), 1);
   scene.Pass(30 * kMs);
   const auto after = scene.End(1, to, Status::kTimeout, Role::kUnknown, {}, -1, true, 30 * kMs);
-  EXPECT_TRUE(Only<Probe>(after).empty());
+  EXPECT_TRUE(Only<CheckHealth>(after).empty());
 }
 
 TEST(Health, SuspectIsTriedByOneRequestAfterAProbe) {
@@ -454,22 +454,22 @@
 TEST(List, DrainingAndGoneGetNothingNew) {
   for (const ServerState state : {ServerState::kDraining, ServerState::kGone}) {
     Scene scene;
-    ListEntry e = Ready(2);
+    EndpointEntry e = Ready(2);
     e.state = state;
-    scene.List(ListKind::kDelta, {e});
+    scene.List(EndpointListKind::kDelta, {e});
     for (RequestId id = 1; id < 9; ++id) EXPECT_EQ(SentTo(scene.Arrive(id, kAnyRead), id), 3u);
   }
 }
 
 TEST(List, AbsentFromAFullListIsGoneAndTheLastMemberServesAll) {
   Scene scene;
-  scene.List(ListKind::kFull, {Ready(1, true)});
+  scene.List(EndpointListKind::kFull, {Ready(1, true)});
   EXPECT_EQ(SentTo(scene.Arrive(1, kAnyRead), 1), 1u);
 }
 
 TEST(List, EmptyGroupRefusesInTime) {
   Scene scene;
-  scene.List(ListKind::kFull, {});
+  scene.List(EndpointListKind::kFull, {});
   scene.Arrive(1, kAnyRead);
   scene.Arrive(2, kUnsafeWrite);
   const auto actions = scene.Pass(kSecond);
@@ -482,37 +482,37 @@
   Settings s = TestSettings();
   s.only_draining_binds = true;
   Scene scene(s);
-  ListEntry gone = Ready(2);
+  EndpointEntry gone = Ready(2);
   gone.state = ServerState::kGone;
-  ListEntry drains = Ready(3);
+  EndpointEntry drains = Ready(3);
   drains.state = ServerState::kDraining;
-  scene.List(ListKind::kDelta, {gone, drains});
+  scene.List(EndpointListKind::kDelta, {gone, drains});
   EXPECT_EQ(SentTo(scene.Arrive(1, kAnyRead), 1), 2u);
-  scene.List(ListKind::kFull, {});
+  scene.List(EndpointListKind::kFull, {});
   EXPECT_EQ(SentTo(scene.Arrive(2, kAnyRead), 2), 2u);
   EXPECT_EQ(SentTo(scene.Arrive(3, kUnsafeWrite), 3), 1u);
 }
 
 TEST(List, AskedForAgainWhenTheCallFails) {
   Settings s = TestSettings();
-  s.ask_for_list = true;
-  s.ask_within = 4 * kSecond;
+  s.poll_endpoint_list = true;
+  s.max_list_age = 4 * kSecond;
   Scene scene(s);
-  EXPECT_FALSE(Only<WatchList>(scene.Pass(100 * kMs)).empty());
-  scene.List(ListKind::kFailed, {});
-  EXPECT_FALSE(Only<WatchList>(scene.Pass(500 * kMs)).empty());
-  EXPECT_FALSE(Only<WatchList>(scene.Pass(4 * kSecond)).empty());
+  EXPECT_FALSE(Only<WatchEndpointList>(scene.Pass(100 * kMs)).empty());
+  scene.List(EndpointListKind::kFailed, {});
+  EXPECT_FALSE(Only<WatchEndpointList>(scene.Pass(500 * kMs)).empty());
+  EXPECT_FALSE(Only<WatchEndpointList>(scene.Pass(4 * kSecond)).empty());
   Scene push;
-  EXPECT_TRUE(Only<WatchList>(push.Pass(kSecond)).empty());
+  EXPECT_TRUE(Only<WatchEndpointList>(push.Pass(kSecond)).empty());
 }
 
 // ---- Warmth ----
 
 TEST(Warmth, ANewServerGetsOneRequestUntilMoreIsKnown) {
   Scene scene;
-  ListEntry e = Ready(4);
+  EndpointEntry e = Ready(4);
   e.boot_time = scene.now() - 100 * kMs;
-  scene.List(ListKind::kDelta, {e});
+  scene.List(EndpointListKind::kDelta, {e});
   int to_new = 0;
   for (RequestId id = 1; id <= 20; ++id) to_new += SentTo(scene.Arrive(id, kAnyRead), id) == 4u;
   EXPECT_EQ(to_new, 1);
@@ -521,13 +521,13 @@
 // "One each" from hundreds of gateways would push a cold server over: together they send it about one.
 TEST(Warmth, ManyRoutersTogetherSpareAColdServer) {
   Settings s = TestSettings();
-  s.gateways = 200;
+  s.router_count = 200;
   int to_new = 0;
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     Scene scene(s, seed);
-    ListEntry e = Ready(4);
+    EndpointEntry e = Ready(4);
     e.boot_time = scene.now() - 100 * kMs;
-    scene.List(ListKind::kDelta, {e});
+    scene.List(EndpointListKind::kDelta, {e});
     for (RequestId id = 1; id <= 20; ++id) to_new += SentTo(scene.Arrive(id, kAnyRead), id) == 4u;
   }
   EXPECT_LE(to_new, 6);
@@ -538,14 +538,14 @@
 // Servers that are full stay so while each request is tried all round: what was turned away is charged too.
 TEST(Crowding, TriesAfterFullAreLimitedToAShare) {
   Settings s = TestSettings();
-  s.gateways = 100;
+  s.router_count = 100;
   Scene scene(s);
   std::size_t sends = 0;
   for (RequestId id = 1; id <= 40; ++id) {
     std::vector<Send> last = Only<Send>(scene.Arrive(id, kAnyRead));
     while (!last.empty()) {
       ++sends;
-      last = Only<Send>(scene.End(id, last.front().server, Status::kFull));
+      last = Only<Send>(scene.End(id, last.front().server, Status::kOverloaded));
     }
     scene.Pass(60 * kMs);
   }
@@ -559,7 +559,7 @@
   for (RequestId id = 1; id <= 30; ++id) {
     const auto actions = scene.Arrive(id, kUnsafeWrite);
     sends += Only<Send>(actions).size();
-    if (SentTo(actions, id)) sends += Only<Send>(scene.End(id, 1, Status::kFull)).size();
+    if (SentTo(actions, id)) sends += Only<Send>(scene.End(id, 1, Status::kOverloaded)).size();
   }
   EXPECT_LE(sends, 3u);
 }
@@ -569,9 +569,9 @@
   std::set<Micros> moments;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Scene scene(TestSettings(), seed);
-    scene.List(ListKind::kFull, {Ready(1, true), Ready(2)});
+    scene.List(EndpointListKind::kFull, {Ready(1, true), Ready(2)});
     scene.Arrive(1, kAnyRead);
-    scene.End(1, 2, Status::kFull);
+    scene.End(1, 2, Status::kOverloaded);
     Micros waited = 0;
     for (RequestId id = 2; !SentTo(scene.Arrive(id, kAnyRead), id); ++id, waited += 5 * kMs) {
       scene.Pass(5 * kMs);
@@ -612,7 +612,7 @@
   s.report_fields = {"x0", "x1", "queue", "inflight"};
   Scene scene(s);
   const auto report = [&](ServerId id, float queue) {
-    ProbeEnded e;
+    HealthCheckEnded e;
     e.server = id;
     e.report = {static_cast<float>(static_cast<double>(scene.now()) / 1e6), 0.0F, queue, queue + 2};
     return scene.Take(e);
@@ -625,7 +625,7 @@
   scene.End(1, 3, Status::kOk, Role::kReplica, {}, -1, true, 390 * kMs);
   for (RequestId id = 10; id < 20; ++id) {
     scene.Pass(kSecond);
-    const auto probes = Only<Probe>(scene.Arrive(id, kAnyRead));
+    const auto probes = Only<CheckHealth>(scene.Arrive(id, kAnyRead));
     if (probes.empty()) continue;  // one of the few refused for lateness
     auto sent = SentTo(report(probes.front().server, probes.front().server == 2 ? 40.0F : 0.0F), id);
     if (probes.front().server == 2) sent = SentTo(report(3, 0), id);
@@ -659,7 +659,7 @@
 // replica is always asked first, and a slow primary is spared.
 TEST(LastResort, PrimaryServesWhatReplicasTurnedAway) {
   Settings s = TestSettings();
-  s.guards = Guards::kRefuse;
+  s.staleness_guard = StalenessGuard::kReject;
   int served = 0, after_slow = 0;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     for (const bool slow : {false, true}) {
@@ -671,7 +671,8 @@
       }
       const auto first = SentTo(scene.Arrive(1, kBoundedRead), 1);
       ASSERT_TRUE(first && *first != 1u);
-      const auto next = scene.End(1, *first, Status::kMiss, Role::kReplica, scene.now_ms() - 5000);
+      const auto next =
+          scene.End(1, *first, Status::kStaleOrWrongRole, Role::kReplica, scene.now_ms() - 5000);
       (slow ? after_slow : served) += SentTo(next, 1) == 1u;
     }
   }
@@ -685,9 +686,9 @@
   Scene scene;
   EXPECT_TRUE(Only<Send>(scene.End(99, 1, Status::kReset, Role::kUnknown, {}, 0)).empty());
   scene.End(99, 12345, Status::kOk, Role::kPrimary, 5, 0);
-  scene.Take(RequestGone{99});
+  scene.Take(RequestCancelled{99});
   scene.Take(TimerFired{99});
-  scene.Take(AnswerBegun{99, 0, 1});
+  scene.Take(ResponseStarted{99, 0, 1});
   scene.Take(PeerMessage{3, "x"});
   scene.ProbeFailed(12345);
   RequestArrived e;
@@ -702,7 +703,7 @@
   s.classes.emplace_back();
   Router router(s, 1);
   std::vector<Action> actions;
-  router.handle(0, ListNews{}, actions);
+  router.handle(0, EndpointListUpdate{}, actions);
   router.handle(0, RequestArrived{.id = 1}, actions);
   EXPECT_TRUE(Refused(actions, 1));
 }
@@ -723,9 +724,9 @@
     return sends;
   };
   EXPECT_GE(served(3 * kSecond), 145);
-  ListEntry second = Ready(2), third = Ready(3);
+  EndpointEntry second = Ready(2), third = Ready(3);
   second.boot_time = third.boot_time = s.now();
-  s.List(ListKind::kDelta, {second, third});
+  s.List(EndpointListKind::kDelta, {second, third});
   const int sends = served(kSecond);
   EXPECT_GE(sends, 10);  // a fifth of what it would be if they were warm, and a little more
   EXPECT_LE(sends, 30);
@@ -751,10 +752,10 @@
   };
   serve(5 * kSecond);
   ASSERT_GT(sent[2], 200);
-  ListEntry leaves = Ready(2), joins = Ready(4);
+  EndpointEntry leaves = Ready(2), joins = Ready(4);
   leaves.state = ServerState::kDraining;
   joins.boot_time = s.now();
-  s.List(ListKind::kDelta, {leaves, joins});
+  s.List(EndpointListKind::kDelta, {leaves, joins});
   serve(kSecond);
   EXPECT_GE(sent[4], 4);
   EXPECT_LE(sent[4], 15);  // what makes it fall is 20
@@ -771,11 +772,11 @@
   s.End(2, 2, Status::kOk, Role::kReplica, s.now_ms());
   s.ProbeFailed(2);  // suspect from then on
   s.ProbeFailed(2);
-  ListEntry gone = Ready(2), other = Ready(3);
+  EndpointEntry gone = Ready(2), other = Ready(3);
   gone.state = other.state = ServerState::kGone;
-  s.List(ListKind::kDelta, {gone, other});
-  for (const Probe& probe : Only<Probe>(s.Pass(60 * kSecond))) EXPECT_NE(probe.server, 2u);
-  s.List(ListKind::kDelta, {Ready(2)});
+  s.List(EndpointListKind::kDelta, {gone, other});
+  for (const CheckHealth& probe : Only<CheckHealth>(s.Pass(60 * kSecond))) EXPECT_NE(probe.server, 2u);
+  s.List(EndpointListKind::kDelta, {Ready(2)});
   EXPECT_FALSE(SentTo(s.Arrive(3, kSessionRead, 5), 3));
   EXPECT_EQ(SentTo(s.Probed(2, 0), 3), 2u);
 }
@@ -787,7 +788,7 @@
   e.id = 1;
   e.group = 77;
   e.remaining = kSecond;
-  EXPECT_EQ(Only<Refuse>(s.Take(e)).size(), 1u);
+  EXPECT_EQ(Only<Reject>(s.Take(e)).size(), 1u);
 }
 
 }  // namespace
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -17,50 +17,50 @@
 
 inline Settings TestSettings() {
   Settings s;
-  const auto add = [&](const char* name, Freshness freshness, Effect effect) {
+  const auto add = [&](const char* name, Freshness freshness, Idempotency effect) {
     ClassSettings c;
     c.name = name;
     c.freshness = freshness;
-    c.bound = freshness == Freshness::kBounded ? 500 * kMs : 0;
-    c.aim = 400 * kMs;
+    c.staleness_bound = freshness == Freshness::kBounded ? 500 * kMs : 0;
+    c.latency_objective = 400 * kMs;
     c.deadline = 1000 * kMs;
-    c.worth = 1;
-    c.effect = effect;
-    c.repeat_group = RepeatGroup::kCell;
-    c.repeat_window = 600 * kMs;
-    c.late_worth = freshness == Freshness::kWrite ? 0.5 : 0;
+    c.priority_weight = 1;
+    c.idempotency = effect;
+    c.retry_scope = RetryScope::kCell;
+    c.retry_window = 600 * kMs;
+    c.late_weight = freshness == Freshness::kWrite ? 0.5 : 0;
     s.classes.push_back(c);
   };
-  add("any", Freshness::kAny, Effect::kSafe);
-  add("bounded", Freshness::kBounded, Effect::kSafe);
-  add("session", Freshness::kSession, Effect::kSafe);
-  add("fresh", Freshness::kFresh, Effect::kSafe);
-  add("keyed", Freshness::kWrite, Effect::kKeyed);
-  add("unsafe", Freshness::kWrite, Effect::kUnsafe);
-  s.listed_role = ListedRole::kStart;
-  s.reports = ReportVia::kProbe;
+  add("any", Freshness::kAny, Idempotency::kIdempotent);
+  add("bounded", Freshness::kBounded, Idempotency::kIdempotent);
+  add("session", Freshness::kSession, Idempotency::kIdempotent);
+  add("fresh", Freshness::kFresh, Idempotency::kIdempotent);
+  add("keyed", Freshness::kWrite, Idempotency::kWithKey);
+  add("unsafe", Freshness::kWrite, Idempotency::kNone);
+  s.listed_role = ListedRole::kInitial;
+  s.load_report_source = LoadReportSource::kHealthChecks;
   s.report_fields = {"x0", "x1"};
-  s.may_cancel = true;
-  s.may_probe = true;
+  s.cancel_allowed = true;
+  s.health_checks_allowed = true;
   s.retry_after = true;
   s.max_retry_after = 500 * kMs;
   s.max_attempts = 10;
-  s.answer_slack = 20 * kMs;
-  s.cold_from = 0.2;
-  s.warm_after = 10 * kSecond;
-  s.fall_multiple = 2;
-  s.fall = kSecond;
-  s.drain_grace = 500 * kMs;
-  s.tick = kMs;
+  s.response_slack = 20 * kMs;
+  s.slow_start_fraction = 0.2;
+  s.slow_start_window = 10 * kSecond;
+  s.overload_multiple = 2;
+  s.overload_window = kSecond;
+  s.drain_timeout = 500 * kMs;
+  s.clock_resolution = kMs;
   return s;
 }
 
-inline ListEntry Ready(ServerId id, bool leads = false, int group = 0) {
-  ListEntry e;
+inline EndpointEntry Ready(ServerId id, bool leads = false, int group = 0) {
+  EndpointEntry e;
   e.server = id;
   e.group = group;
   e.state = ServerState::kReady;
-  e.leads = leads;
+  e.listed_primary = leads;
   return e;
 }
 
@@ -69,7 +69,7 @@
   // Server 1 leads; 2 and 3 follow.
   explicit Scene(Settings settings = TestSettings(), std::uint64_t seed = 1)
       : router_(settings, seed), now_(100 * kSecond) {
-    List(ListKind::kCached, {Ready(1, true), Ready(2), Ready(3)});
+    List(EndpointListKind::kCached, {Ready(1, true), Ready(2), Ready(3)});
   }
 
   std::vector<Action> Take(const Event& event) {
@@ -82,8 +82,8 @@
     }
     return actions;
   }
-  std::vector<Action> List(ListKind kind, std::vector<ListEntry> entries) {
-    return Take(ListNews{kind, 1, std::move(entries)});
+  std::vector<Action> List(EndpointListKind kind, std::vector<EndpointEntry> entries) {
+    return Take(EndpointListUpdate{kind, 1, std::move(entries)});
   }
   // Moves the clock, firing timers on the way; returns what was done.
   std::vector<Action> Pass(Micros span) {
@@ -110,13 +110,13 @@
   }
   // A probe's result `lag` behind the present.
   std::vector<Action> Probed(ServerId id, Micros lag, bool primary = false) {
-    ProbeEnded e;
+    HealthCheckEnded e;
     e.server = id;
     e.report = {static_cast<float>(static_cast<double>(now_ - lag) / 1e6), primary ? 1.0F : 0.0F};
     return Take(e);
   }
   std::vector<Action> ProbeFailed(ServerId id) {
-    ProbeEnded e;
+    HealthCheckEnded e;
     e.server = id;
     e.status = Status::kTimeout;
     return Take(e);
@@ -131,7 +131,7 @@
     e.server = server;
     e.status = status;
     e.elapsed = elapsed;
-    e.over = over || status == Status::kOk;
+    e.request_ended = over || status == Status::kOk;
     e.role = role;
     e.position_ms = position_ms;
     return Take(e);
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -80,7 +80,7 @@
 TEST_F(Stop, ARequestThatCrossesTheCloseOfItsConnectionIsNotSentOn) {
   Running node({server_.port()}, 256, 1, [](Config& config) {
     Soon(config);
-    config.settings.classes[0].aim = 400'000;  // else there is no time to send it by the end
+    config.settings.classes[0].latency_objective = 400'000;  // else there is no time to send it by the end
   });
   Peer idle = node.Session();
   kill(getpid(), SIGTERM);
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -63,7 +63,7 @@
   }
   static limits::ListPace Pace(Micros grace = 100'000) {
     Settings settings;
-    settings.drain_grace = grace;
+    settings.drain_timeout = grace;
     return {settings, 1};
   }
   std::unique_ptr<DiscoveryWatch> Watch(const std::string& address, Micros grace = 100'000) {
