--- /dev/null
+++ b/src/endpoints/outcome_observer.hpp
@@ -0,0 +1,47 @@
+// Learns from what servers answer and report: latency, load, roles, positions and commits.
+#ifndef TULIPYOKE_SRC_ENDPOINTS_OUTCOME_OBSERVER_HPP_
+#define TULIPYOKE_SRC_ENDPOINTS_OUTCOME_OBSERVER_HPP_
+
+#include "src/endpoints/endpoint_table.hpp"
+#include "src/endpoints/routing_context.hpp"
+#include "src/sessions/consistency_tokens.hpp"
+
+namespace tulipyoke::endpoints {
+
+// How an outcome compares with the latency objective of its class.
+struct OutcomeTiming {
+  bool in_time = false;
+  bool overloaded = false;  // a sign that the server has too much to do
+};
+OutcomeTiming TimingOf(const AttemptEnded& outcome, const ClassSettings& c);
+
+class OutcomeObserver {
+ public:
+  OutcomeObserver(RoutingContext& context, EndpointTable& table, sessions::ConsistencyTokens& tokens)
+      : context_(context), table_(table), tokens_(tokens) {}
+
+  // The attempt at the server has ended.
+  void ObserveAttempt(Server& server, const estimates::InFlightAttempt& attempt, const AttemptEnded& outcome,
+                      Micros now);
+  // Learns from a load report. True where it shows a newer position.
+  bool ObserveReport(Server& server, const Report& report, Micros now);
+  // What another process of this router observed.
+  void ObserveServer(Server& server, const ServerObservation& observation, Micros now);
+
+ private:
+  void LearnLatency(Server& server, int class_index, const AttemptEnded& outcome, Micros now);
+  void LearnLoad(Server& server, int class_index, const AttemptEnded& outcome, Micros now);
+  void LearnData(Server& server, const estimates::InFlightAttempt& attempt, const AttemptEnded& outcome,
+                 Micros now);
+  void RecordCommit(const Server& server, const estimates::InFlightAttempt& attempt,
+                    const AttemptEnded& outcome, Micros now);
+  void ObservePosition(Server& server, Micros position, estimates::PositionKind kind, Micros now);
+
+  RoutingContext& context_;
+  EndpointTable& table_;
+  sessions::ConsistencyTokens& tokens_;
+};
+
+}  // namespace tulipyoke::endpoints
+
+#endif  // TULIPYOKE_SRC_ENDPOINTS_OUTCOME_OBSERVER_HPP_
--- /dev/null
+++ b/src/endpoints/routing_context.cpp
@@ -0,0 +1,12 @@
+#include "src/endpoints/routing_context.hpp"
+
+namespace tulipyoke::endpoints {
+
+RoutingContext::RoutingContext(const Settings& given, std::uint64_t seed)
+    : settings(estimates::Normalized(given)),
+      scales(settings),
+      report_reader(settings),
+      random(seed),
+      latency(settings, scales) {}
+
+}  // namespace tulipyoke::endpoints
--- /dev/null
+++ b/src/estimates/replica_position.cpp
@@ -0,0 +1,49 @@
+#include "src/estimates/replica_position.hpp"
+
+#include <algorithm>
+
+#include "src/estimates/decay.hpp"
+
+namespace tulipyoke::estimates {
+namespace {
+
+// The slowest rate that is believed: a replica that stands still may go on at any moment.
+constexpr double kLeastRate = 0.05;
+// Two positions nearer than so many clock ticks give no rate: rounding would dominate.
+constexpr int kTicksPerRate = 10;
+
+}  // namespace
+
+void ReplicaPosition::Observe(Micros now, Micros position, PositionKind kind, Micros present,
+                              Micros resolution) {
+  if (position < 0 || position > present) return;
+  if (position < position_) return;
+  if (position == position_ && kind == PositionKind::kRounded) return;
+  const Micros span = now - rate_observed_;
+  if (rate_position_ == kNoPosition) {
+    rate_position_ = position;
+    rate_observed_ = now;
+  } else if (span >= kTicksPerRate * resolution) {
+    rate_ = RatioOrZero(static_cast<double>(position - rate_position_), static_cast<double>(span));
+    rate_position_ = position;
+    rate_observed_ = now;
+  }
+  position_ = position;
+  observed_ = now;
+}
+
+double ReplicaPosition::PredictedWait(Micros needed, Micros now, Micros fade_span) const {
+  if (needed <= position_) return 0;
+  const double whole = static_cast<double>(needed - position_) / Rate(now, fade_span);
+  return std::max(0.0, whole - static_cast<double>(now - observed_));
+}
+
+Micros ReplicaPosition::ObservedLag(Micros position_epoch) const {
+  return known() ? observed_ - position_epoch - position_ : 0;
+}
+
+double ReplicaPosition::Rate(Micros now, Micros fade_span) const {
+  return std::max(kLeastRate, 1 + (rate_ - 1) * Decay(now - rate_observed_, fade_span));
+}
+
+}  // namespace tulipyoke::estimates
--- /dev/null
+++ b/src/estimates/time_scales.cpp
@@ -0,0 +1,40 @@
+#include "src/estimates/time_scales.hpp"
+
+#include <algorithm>
+
+namespace tulipyoke::estimates {
+namespace {
+
+// A server that was slow is tried again after about so many of the longest deadlines.
+constexpr Micros kFadeDeadlines = 2;
+
+}  // namespace
+
+TimeScales::TimeScales(const Settings& normalized) {
+  Micros shortest_objective = kForever;
+  for (const ClassSettings& c : normalized.classes) {
+    shortest_objective = std::min(shortest_objective, c.latency_objective);
+    longest_objective = std::max(longest_objective, c.latency_objective);
+    longest_deadline = std::max(longest_deadline, c.deadline);
+    if (c.freshness == Freshness::kBounded) {
+      tightest_staleness_bound = std::min(tightest_staleness_bound, c.staleness_bound);
+    }
+  }
+  if (shortest_objective == kForever) shortest_objective = 0;
+  check_interval = std::max(normalized.clock_resolution, shortest_objective / kChecksPerObjective);
+  fade_span = kFadeDeadlines * std::max<Micros>(longest_deadline, 1);
+  forget_after = kFadeDeadlines * longest_deadline;
+  work_span = std::max({normalized.overload_window, normalized.slow_start_window, Micros{1}});
+}
+
+Settings Normalized(Settings settings) {
+  for (ClassSettings& c : settings.classes) {
+    if (c.deadline <= 0) c.deadline = c.latency_objective;
+    if (c.latency_objective <= 0) c.latency_objective = c.deadline;
+  }
+  settings.router_count = std::max(settings.router_count, 1);
+  settings.clock_resolution = std::max<Micros>(settings.clock_resolution, 1);
+  return settings;
+}
+
+}  // namespace tulipyoke::estimates
--- /dev/null
+++ b/src/limits/retry_detector.cpp
@@ -0,0 +1,23 @@
+#include "src/limits/retry_detector.hpp"
+
+#include <algorithm>
+
+namespace tulipyoke::limits {
+namespace {
+
+// At most so many in a hundred requests of a class are taken to be retries.
+constexpr std::size_t kMostRetriesPercent = 75;
+
+}  // namespace
+
+bool RetryDetector::IsLateRetry(Micros remaining, Micros latency_objective) {
+  waits_[count_++ % waits_.size()] = remaining;
+  std::array<Micros, kRequestsKept> sorted = waits_;
+  const std::size_t known = std::min(count_, waits_.size());
+  const auto index = static_cast<std::ptrdiff_t>((known - 1) * kMostRetriesPercent / 100);
+  const auto first_attempt = sorted.begin() + index;
+  std::nth_element(sorted.begin(), first_attempt, sorted.begin() + static_cast<std::ptrdiff_t>(known));
+  return remaining + latency_objective / 2 < *first_attempt;
+}
+
+}  // namespace tulipyoke::limits
--- /dev/null
+++ b/src/requests/request.hpp
@@ -0,0 +1,43 @@
+// A request from its arrival to its end.
+#ifndef TULIPYOKE_SRC_REQUESTS_REQUEST_HPP_
+#define TULIPYOKE_SRC_REQUESTS_REQUEST_HPP_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "src/endpoints/server.hpp"
+#include "tulipyoke/router.hpp"
+
+namespace tulipyoke::requests {
+
+struct Request {
+  RequestId id = 0;
+  int class_index = 0;
+  int group = 0;
+  std::uint64_t key = 0;
+  Micros arrived = 0;
+  Micros deadline = 0;
+  Micros session_position = estimates::kNoPosition;  // that its session's writes need
+  int attempts = 0;
+  int in_flight = 0;
+  int queue_checks = 0;                           // servers that were asked for their queue
+  int misses = 0;                                 // replicas that turned it away as too stale
+  ServerId queue_checked = 0;                     // the newest of the servers asked
+  Micros queue_check_until = 0;                   // it waits for that answer until then
+  Micros first_may_have_run = endpoints::kNever;  // first send that may have run or is in flight
+  bool may_have_run = false;
+  bool parked = false;
+  bool admission_decided = false;
+  bool shed = false;
+  double priority = 0;  // what its answer is worth
+  std::optional<ServerId> awaited_replica = {};
+  Micros reselect_at = 0;
+  std::vector<ServerId> failed_at = {};
+};
+
+using RequestTable = std::map<RequestId, Request>;
+
+}  // namespace tulipyoke::requests
+
+#endif  // TULIPYOKE_SRC_REQUESTS_REQUEST_HPP_
--- /dev/null
+++ b/tests/estimates/replica_position_test.cpp
@@ -0,0 +1,67 @@
+// Replication positions and the rate of applying.
+#include "src/estimates/replica_position.hpp"
+
+#include <gtest/gtest.h>
+
+#include "tests/scene.hpp"
+
+namespace tulipyoke::estimates {
+namespace {
+
+constexpr Micros kNow = 100 * kSecond;
+constexpr Micros kFadeSpan = 400 * kMs;
+
+ReplicaPosition Observed(Micros now, Micros position) {
+  ReplicaPosition result;
+  result.Observe(now, position, PositionKind::kExact, now, kMs);
+  return result;
+}
+
+// Guards against a replica that is taken for fresh by a position that cannot be.
+TEST(ReplicaPosition, ImpossibleAndOlderPositionsAreIgnored) {
+  ReplicaPosition position;
+  EXPECT_FALSE(position.known());
+  position.Observe(kNow, -5, PositionKind::kExact, kNow, kMs);
+  position.Observe(kNow, kNow + 1, PositionKind::kExact, kNow, kMs);
+  EXPECT_FALSE(position.known());
+  position.Observe(kNow, kNow - 10, PositionKind::kExact, kNow, kMs);
+  position.Observe(kNow, kNow - 20, PositionKind::kExact, kNow, kMs);
+  EXPECT_EQ(position.value(), kNow - 10);
+}
+
+TEST(ReplicaPosition, OnlyAnExactPositionDatesAnEqualOneAnew) {
+  ReplicaPosition position = Observed(kNow, kNow - 10);
+  position.Observe(kNow + 5, kNow - 10, PositionKind::kRounded, kNow + 5, kMs);
+  EXPECT_EQ(position.observed(), kNow);
+  position.Observe(kNow + 5, kNow - 10, PositionKind::kExact, kNow + 5, kMs);
+  EXPECT_EQ(position.observed(), kNow + 5);
+}
+
+TEST(ReplicaPosition, TheWaitFallsAsTimePasses) {
+  const ReplicaPosition position = Observed(kNow, kNow - 100 * kMs);
+  EXPECT_DOUBLE_EQ(position.PredictedWait(kNow - 100 * kMs, kNow, kFadeSpan), 0);
+  EXPECT_DOUBLE_EQ(position.PredictedWait(kNow, kNow, kFadeSpan), 100 * kMs);
+  EXPECT_DOUBLE_EQ(position.PredictedWait(kNow, kNow + 60 * kMs, kFadeSpan), 40 * kMs);
+  EXPECT_DOUBLE_EQ(position.PredictedWait(kNow, kNow + kSecond, kFadeSpan), 0);
+}
+
+// Guards against a replica that once stood still and is passed over for ever.
+TEST(ReplicaPosition, ARateThatIsNotConfirmedFadesToOne) {
+  ReplicaPosition position = Observed(kNow, kNow - kSecond);
+  const Micros later = kNow + 100 * kMs;
+  position.Observe(later, kNow - 950 * kMs, PositionKind::kExact, later, kMs);  // at half the rate
+  const Micros needed = kNow - 850 * kMs;
+  EXPECT_DOUBLE_EQ(position.PredictedWait(needed, later, kFadeSpan), 200 * kMs);
+  EXPECT_LT(position.PredictedWait(needed, later + 60 * kMs, kFadeSpan), 130 * kMs);
+  position.ResetRate();
+  EXPECT_DOUBLE_EQ(position.PredictedWait(needed, later, kFadeSpan), 100 * kMs);
+}
+
+TEST(ReplicaPosition, TheLagIsThatOfTheObservation) {
+  EXPECT_EQ(ReplicaPosition().ObservedLag(0), 0);
+  EXPECT_EQ(Observed(kNow, kNow - 30 * kMs).ObservedLag(0), 30 * kMs);
+  EXPECT_EQ(Observed(kNow, kNow - 30 * kMs).ObservedLag(10 * kMs), 20 * kMs);
+}
+
+}  // namespace
+}  // namespace tulipyoke::estimates
--- /dev/null
+++ b/tests/estimates/time_scales_test.cpp
@@ -0,0 +1,44 @@
+// The time spans that follow from the settings.
+#include "src/estimates/time_scales.hpp"
+
+#include <gtest/gtest.h>
+
+#include "tests/scene.hpp"
+
+namespace tulipyoke::estimates {
+namespace {
+
+TEST(TimeScales, FollowFromTheClasses) {
+  const TimeScales scales(Normalized(TestSettings()));
+  EXPECT_EQ(scales.check_interval, 50 * kMs);
+  EXPECT_EQ(scales.longest_objective, 400 * kMs);
+  EXPECT_EQ(scales.longest_deadline, kSecond);
+  EXPECT_EQ(scales.tightest_staleness_bound, 500 * kMs);
+  EXPECT_EQ(scales.fade_span, 2 * kSecond);
+  EXPECT_EQ(scales.forget_after, 2 * kSecond);
+  EXPECT_EQ(scales.work_span, 10 * kSecond);
+}
+
+// Guards against a division by zero or a timer without a delay where nothing is set.
+TEST(TimeScales, ArePositiveWithoutSettings) {
+  const TimeScales scales(Normalized(Settings{}));
+  EXPECT_EQ(scales.check_interval, 1);
+  EXPECT_EQ(scales.fade_span, 2);
+  EXPECT_EQ(scales.work_span, 1);
+  EXPECT_EQ(scales.tightest_staleness_bound, kForever);
+}
+
+TEST(TimeScales, AnObjectiveOrADeadlineThatIsMissingIsTheOther) {
+  Settings settings;
+  settings.classes.resize(2);
+  settings.classes[0].latency_objective = 5;
+  settings.classes[1].deadline = 7;
+  settings.router_count = 0;
+  const Settings normalized = Normalized(settings);
+  EXPECT_EQ(normalized.classes[0].deadline, 5);
+  EXPECT_EQ(normalized.classes[1].latency_objective, 7);
+  EXPECT_EQ(normalized.router_count, 1);
+}
+
+}  // namespace
+}  // namespace tulipyoke::estimates
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -9,7 +9,6 @@
 #include <tuple>
 #include <vector>
 
-#include "src/sessions/commits.hpp"
 #include "tests/scene.hpp"
 
 namespace tulipyoke {
@@ -25,34 +24,34 @@
 }
 
 // Guards against hundreds of routers that all ask all servers at their start: one may ask one server then.
-TEST(Fleet, ProbesAtOnceAreSharedByAllRouters) {
+TEST(Fleet, HealthChecksAtOnceAreSharedByAllRouters) {
   Scene scene(FleetSettings());
   std::size_t probes = Only<CheckHealth>(scene.Arrive(1, kFreshRead)).size();
-  for (int i = 0; i < 10; ++i) probes += Only<CheckHealth>(scene.Pass(50 * kMs)).size();
+  for (int i = 0; i < 10; ++i) probes += Only<CheckHealth>(scene.Advance(50 * kMs)).size();
   EXPECT_EQ(probes, 1u);
 }
 
-// Guards against writes refused because no probe was left to find their primary: the members are tried in
-// turn, each once, and what their answers told holds for the writes that follow.
+// Guards against writes rejected because no health check was left to find their primary: the members are
+// tried in turn, each once, and what their answers told holds for the writes that follow.
 TEST(Fleet, AWriteFindsItsPrimaryWhenNobodyCanBeAsked) {
   Scene scene(FleetSettings());
-  const auto asked = Only<CheckHealth>(scene.Arrive(1, kFreshRead));  // the one probe that there is
+  const auto asked = Only<CheckHealth>(scene.Arrive(1, kFreshRead));  // the one health check that there is
   ASSERT_EQ(asked.size(), 1u);
-  scene.Probed(asked[0].server, 0, false);
+  scene.ReportHealthCheck(asked[0].server, 0, false);
   std::set<ServerId> tried;
   auto to = SentTo(scene.Arrive(2, kUnsafeWrite), 2);
   while (to && *to != 3) {
     EXPECT_TRUE(tried.insert(*to).second) << "a second try of " << *to;
-    to = SentTo(scene.End(2, *to, Status::kStaleOrWrongRole, Role::kReplica, scene.now_ms() - 10), 2);
+    to = SentTo(scene.EndAttempt(2, *to, Status::kStaleOrWrongRole, Role::kReplica, scene.now_ms() - 10), 2);
   }
   ASSERT_EQ(to, 3u);
-  scene.End(2, 3, Status::kOk, Role::kPrimary, scene.now_ms());
+  scene.EndAttempt(2, 3, Status::kOk, Role::kPrimary, scene.now_ms());
   EXPECT_EQ(SentTo(scene.Arrive(3, kUnsafeWrite), 3), 3u);
 }
 
-// Guards against bounded reads held for a probe that never comes: where servers check by themselves, one read
-// goes ahead of what was shown, and only one.
-TEST(Fleet, AReadIsItsOwnProbeOfAReplicaThatHasShownNothing) {
+// Guards against bounded reads parked for a health check that never comes: where servers check by themselves,
+// one read goes ahead of what was shown, and only one.
+TEST(Fleet, AReadChecksTheFreshnessOfAReplicaByItself) {
   Scene scene(FleetSettings());
   const auto first = SentTo(scene.Arrive(1, kBoundedRead), 1);
   const auto second = SentTo(scene.Arrive(2, kBoundedRead), 2);
@@ -72,98 +71,100 @@
   Scene scene(FleetSettings());
   const auto slow = SentTo(scene.Arrive(1, kAnyRead), 1);
   ASSERT_TRUE(slow);
-  scene.Pass(390 * kMs);
-  scene.End(1, *slow, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 390 * kMs);
+  scene.Advance(390 * kMs);
+  scene.EndAttempt(1, *slow, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 390 * kMs);
   int again = 0;
   for (RequestId id = 2; id < 12; ++id) {
     const auto to = SentTo(scene.Arrive(id, kAnyRead), id);
     if (!to) continue;  // shed
     again += *to == *slow;
-    scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
+    scene.EndAttempt(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
   }
   EXPECT_EQ(again, 0);
   // The others die: it is asked again.
   for (const ServerId other : {1u, 2u, 3u}) {
     EndpointEntry gone = Ready(other);
     gone.state = ServerState::kGone;
-    if (other != *slow) scene.List(EndpointListKind::kDelta, {gone});
+    if (other != *slow) scene.UpdateList(EndpointListKind::kDelta, {gone});
   }
-  scene.Pass(5 * kSecond);
+  scene.Advance(5 * kSecond);
   EXPECT_EQ(SentTo(scene.Arrive(20, kAnyRead), 20), *slow);
 }
 
 // Guards against a share of admitted reads that stays low for minutes where few answers could raise it.
-TEST(Fleet, ReadsAreAdmittedAgainWhenNothingConfirmsTheCrowd) {
+TEST(Fleet, ReadsAreAdmittedAgainWhenNothingConfirmsTheOverload) {
   Scene scene(FleetSettings());
   for (RequestId id = 1; id <= 5; ++id) {
-    scene.Pass(kSecond);
+    scene.Advance(kSecond);
     if (const auto to = SentTo(scene.Arrive(id, kAnyRead), id))
-      scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 390 * kMs);
+      scene.EndAttempt(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 390 * kMs);
   }
-  scene.Pass(20 * kSecond);
+  scene.Advance(20 * kSecond);
   int sent = 0;
   for (RequestId id = 10; id < 20; ++id) {
     const auto to = SentTo(scene.Arrive(id, kAnyRead), id);
     sent += to.has_value();
-    if (to) scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 20 * kMs);
+    if (to) scene.EndAttempt(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 20 * kMs);
   }
   EXPECT_GE(sent, 8);
 }
 
-// Guards against a crowded group that turns reads away alike, whatever they are worth.
-TEST(Fleet, ACrowdedGroupTakesTheReadsThatEarnMost) {
+// Guards against an overloaded group that rejects reads alike, whatever they are worth.
+TEST(Fleet, AnOverloadedGroupAdmitsTheReadsOfTheHighestPriority) {
   Settings settings = FleetSettings();
   settings.classes[kSessionRead].priority_weight = 3;
   Scene scene(settings);
   std::map<int, int> sent;
   for (RequestId id = 1; id <= 400; ++id) {
-    scene.Pass(200 * kMs);
+    scene.Advance(200 * kMs);
     const int kind = id % 2 == 0 ? kAnyRead : kSessionRead;
     const auto to = SentTo(scene.Arrive(id, kind), id);
     if (!to) continue;
     ++sent[kind];
     // More than half of the answers are too late, so that less than half of the reads are admitted.
     const Micros took = id % 10 < 6 ? 390 * kMs : 20 * kMs;
-    scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, took);
+    scene.EndAttempt(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, took);
   }
   EXPECT_GT(sent[kSessionRead], 2 * sent[kAnyRead]);
 }
 
-// Guards against reads refused after one quick error with nearly all of their time left: reads that time out
-// at their aim, and so have no further try, took the budget of those that could have one.
-TEST(Fleet, OnlyAFurtherTryThatCanFollowIsPaidFor) {
+// Guards against reads rejected after one quick error with nearly all of their time left: reads that time out
+// at their objective, and so have no retry, took the budget of those that could have one.
+TEST(Fleet, OnlyARetryThatCanFollowIsChargedFor) {
   Scene scene(FleetSettings());
   std::vector<EndpointEntry> listed = {Ready(1), Ready(2), Ready(3), Ready(4)};
   for (ServerId other = 11; other <= 16; ++other) listed.push_back(Ready(other, false, 1));
-  scene.List(EndpointListKind::kCached, listed);
+  scene.UpdateList(EndpointListKind::kCached, listed);
   std::map<RequestId, ServerId> out;
   for (RequestId id = 1; id <= 6; ++id) {
     if (const auto to = SentTo(scene.Arrive(id, kAnyRead, 0, 1000 * kMs, 1), id)) out[id] = *to;
   }
   ASSERT_GE(out.size(), 4u);
-  scene.Pass(400 * kMs);
+  scene.Advance(400 * kMs);
   for (const auto& [id, to] : out) {
-    scene.End(id, to, Status::kTimeout, Role::kUnknown, {}, -1, false, 400 * kMs);
+    scene.EndAttempt(id, to, Status::kTimeout, Role::kUnknown, {}, -1, false, 400 * kMs);
   }
   auto to = SentTo(scene.Arrive(10, kAnyRead), 10);
   std::set<ServerId> tried;
   while (to) {
     EXPECT_TRUE(tried.insert(*to).second);
-    to = SentTo(scene.End(10, *to, Status::kError, Role::kReplica, scene.now_ms() - 5, -1, false, 4 * kMs),
-                10);
+    to = SentTo(
+        scene.EndAttempt(10, *to, Status::kError, Role::kReplica, scene.now_ms() - 5, -1, false, 4 * kMs),
+        10);
   }
-  EXPECT_EQ(tried.size(), 3u);  // two further tries, at two fifths each, and the group has no more
+  EXPECT_EQ(tried.size(), 3u);  // two retries, at two fifths each, and the group has no more
 }
 
 // Guards against a read that goes round replicas which all lag, a wait and a connection at each.
-TEST(Fleet, AReadIsTurnedAwayThreeTimesAtMost) {
+TEST(Fleet, AReadIsRejectedByThreeReplicasAtMost) {
   Scene scene(FleetSettings());
-  scene.List(EndpointListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
+  scene.UpdateList(EndpointListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
   auto to = SentTo(scene.Arrive(1, kBoundedRead), 1);
   int misses = 0;
   for (; to && misses < 10; ++misses) {
-    scene.Pass(20 * kMs);
-    const auto actions = scene.End(1, *to, Status::kStaleOrWrongRole, Role::kReplica, scene.now_ms() - 900);
+    scene.Advance(20 * kMs);
+    const auto actions =
+        scene.EndAttempt(1, *to, Status::kStaleOrWrongRole, Role::kReplica, scene.now_ms() - 900);
     to = SentTo(actions, 1);
     EXPECT_EQ(Only<Reject>(actions).size(), to ? 0u : 1u);
   }
@@ -173,14 +174,15 @@
 // Guards against connections to every server from every router: what answered of late is gone back to.
 TEST(Fleet, ARouterKeepsToTheServersThatItHasConnectionsTo) {
   Scene scene(FleetSettings());
-  scene.List(EndpointListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
+  scene.UpdateList(EndpointListKind::kCached, {Ready(1), Ready(2), Ready(3), Ready(4), Ready(5), Ready(6)});
   std::set<ServerId> used;
   for (RequestId id = 1; id <= 30; ++id) {
-    scene.Pass(kSecond);
+    scene.Advance(kSecond);
     const auto to = SentTo(scene.Arrive(id, kAnyRead), id);
     ASSERT_TRUE(to);
     used.insert(*to);
-    scene.End(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, (90 + id % 20) * kMs);
+    scene.EndAttempt(id, *to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true,
+                     (90 + id % 20) * kMs);
   }
   EXPECT_LE(used.size(), 2u);
 }
@@ -205,8 +207,8 @@
     cold.boot_time = routers.back()->now();
     EndpointEntry leaves = Ready(2);
     leaves.state = ServerState::kDraining;
-    routers.back()->List(EndpointListKind::kDelta, {cold, leaves});
-    routers.back()->Probed(1, 0, true);  // the primary takes no reads but in need
+    routers.back()->UpdateList(EndpointListKind::kDelta, {cold, leaves});
+    routers.back()->ReportHealthCheck(1, 0, true);  // the primary takes no reads but in need
   }
   std::mt19937 random(7);
   std::discrete_distribution<int> whose(weights.begin(), weights.end());
@@ -222,21 +224,21 @@
       if (to) out.emplace_back(router, id, *to);
     }
     for (const auto& router : routers) {
-      for (const Send& late : Only<Send>(router->Pass(60 * kMs))) sent.back() += late.server == 3;
+      for (const Send& late : Only<Send>(router->Advance(60 * kMs))) sent.back() += late.server == 3;
     }
     for (const auto& [router, id, to] : out) {
       sent.back() += to == 3;
       Scene& scene = *routers[static_cast<std::size_t>(router)];
-      scene.End(id, to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
+      scene.EndAttempt(id, to, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
     }
-    for (const auto& router : routers) router->Pass(40 * kMs);
+    for (const auto& router : routers) router->Advance(40 * kMs);
   }
   return sent;
 }
 
 // Guards against "one each" from hundreds of routers, and against a budget that is next to nothing because
 // each sees next to nothing. The server bears an even part of the quota once it is warm.
-TEST(Fleet, HundredsOfRoutersTogetherKeepTheColdRuleAndUseTheServer) {
+TEST(Fleet, HundredsOfRoutersTogetherKeepToSlowStartAndUseTheServer) {
   for (const bool skewed : {false, true}) {
     const std::vector<int> sent = SentToACold(skewed);
     for (std::size_t from = 0; from + 30 <= sent.size(); ++from) {
@@ -250,9 +252,9 @@
   }
 }
 
-// Guards against writes that go round replicas, and are refused after eight misses, while their primary is
+// Guards against writes that go round replicas, and are rejected after eight misses, while their primary is
 // known and has only just started: they wait for it. All routers together keep to the rule.
-TEST(Fleet, WritesWaitForAColdPrimaryThatIsKnown) {
+TEST(Fleet, WritesWaitForAPrimaryThatWarmsUp) {
   constexpr int kRouters = 300;
   Settings settings = FleetSettings();
   settings.tenants = {{"all", 240, 1}};  // a second, of three servers
@@ -263,17 +265,17 @@
   int to_primary = 0, to_others = 0;
   for (int i = 0; i < kRouters; ++i) {
     Scene scene(settings, static_cast<std::uint64_t>(i));
-    // The one probe that there is has been spent.
+    // The one health check that there is has been spent.
     for (const CheckHealth& asked : Only<CheckHealth>(scene.Arrive(1, kFreshRead)))
-      scene.Probed(asked.server, 0, false);
-    scene.Probed(1, 0, true);
-    scene.End(1, 1, Status::kOk, Role::kPrimary, scene.now_ms());
+      scene.ReportHealthCheck(asked.server, 0, false);
+    scene.ReportHealthCheck(1, 0, true);
+    scene.EndAttempt(1, 1, Status::kOk, Role::kPrimary, scene.now_ms());
     EndpointEntry cold = Ready(1);
     cold.boot_time = scene.now();
-    scene.List(EndpointListKind::kDelta, {cold});
-    scene.Pass(900 * kMs);
+    scene.UpdateList(EndpointListKind::kDelta, {cold});
+    scene.Advance(900 * kMs);
     auto actions = scene.Arrive(2, kUnsafeWrite, 0, 5 * kSecond);
-    const auto later = scene.Pass(2 * kSecond);
+    const auto later = scene.Advance(2 * kSecond);
     actions.insert(actions.end(), later.begin(), later.end());
     for (const Send& s : Only<Send>(actions)) ++(s.server == 1 ? to_primary : to_others);
   }
@@ -284,7 +286,7 @@
 }
 
 // Guards against a server that is passed over, long after it is back, for what the process before it did.
-TEST(Fleet, AServerThatStartedAnewIsJudgedAnew) {
+TEST(Fleet, ARestartedServerIsJudgedAnew) {
   Scene scene;
   RequestId id = 0;
   std::optional<ServerId> to;
@@ -293,27 +295,16 @@
     to = SentTo(scene.Arrive(id, kAnyRead), id);
     ASSERT_TRUE(to && id < 10);
   }
-  scene.Pass(kSecond);
-  scene.End(id, 2, Status::kTimeout, Role::kUnknown, {}, -1, true, kSecond);
-  if (id > 1) scene.End(1, 3, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
-  scene.Pass(kMs);
+  scene.Advance(kSecond);
+  scene.EndAttempt(id, 2, Status::kTimeout, Role::kUnknown, {}, -1, true, kSecond);
+  if (id > 1) scene.EndAttempt(1, 3, Status::kOk, Role::kReplica, scene.now_ms() - 5, -1, true, 60 * kMs);
+  scene.Advance(kMs);
   EXPECT_EQ(SentTo(scene.Arrive(id + 1, kAnyRead), id + 1), 3u);  // and is busy with it
   EndpointEntry anew = Ready(2);
   anew.boot_time = scene.now();
-  scene.List(EndpointListKind::kDelta, {anew});
+  scene.UpdateList(EndpointListKind::kDelta, {anew});
   EXPECT_EQ(SentTo(scene.Arrive(id + 2, kAnyRead), id + 2), 2u);
 }
 
-// Guards against sessions that fill the memory, and against a stale read by forgetting.
-TEST(Commits, ForgettingMergesOldOnesIntoTheFloorOfTheirGroup) {
-  sessions::Commits commits;
-  for (std::uint64_t key = 1; key <= 10000; ++key) commits.Note(key, 3, static_cast<Micros>(key));
-  commits.Forget(9000);
-  EXPECT_EQ(commits.size(), 1000u);
-  EXPECT_EQ(commits.Needed(17, 3), 9000);
-  EXPECT_EQ(commits.Needed(9500, 3), 9500);
-  EXPECT_EQ(commits.Needed(17, 4), sessions::kNone);
-}
-
 }  // namespace
 }  // namespace tulipyoke
--- a/tests/invariants_test.cpp
+++ b/tests/invariants_test.cpp
@@ -135,7 +135,7 @@
         const bool is_primary = o.server == primary;
         if (told && !is_primary) shown[o.server] = std::max(shown[o.server], position);
         if (told && !is_primary) excused[o.server] = false;
-        check(scene.End(
+        check(scene.EndAttempt(
             o.id, o.server, status, told ? (is_primary ? Role::kPrimary : Role::kReplica) : Role::kUnknown,
             told ? std::optional<std::int64_t>(position / kMs) : std::nullopt, o.attempt, request.ended));
         break;
@@ -144,7 +144,7 @@
         const auto id = static_cast<ServerId>(1 + pick(5));
         const Micros lag = pick(1500) * kMs;
         shown[id] = std::max(shown[id], scene.now() - lag);
-        check(pick(8) == 0 ? scene.ProbeFailed(id) : scene.Probed(id, lag, id == primary));
+        check(pick(8) == 0 ? scene.FailHealthCheck(id) : scene.ReportHealthCheck(id, lag, id == primary));
         break;
       }
       case 7: {
@@ -155,12 +155,12 @@
         if (e.state == ServerState::kReady) listed[id] = true;
         if (e.state != ServerState::kReady) listed[id] = false;
         if (pick(20) == 0) excused[primary = static_cast<ServerId>(1 + pick(5))] = true;
-        check(scene.List(EndpointListKind::kDelta, {e}));
+        check(scene.UpdateList(EndpointListKind::kDelta, {e}));
         break;
       }
       default:
         // By milliseconds: what is sent on the way is judged by the time at which it was sent.
-        for (int left = pick(60); left > 0; --left) check(scene.Pass(kMs));
+        for (int left = pick(60); left > 0; --left) check(scene.Advance(kMs));
     }
     for (auto& [id, o] : owed) {
       if (o.ended || scene.now() <= o.deadline + settings.response_slack) continue;
--- /dev/null
+++ b/tests/limits/ejection_test.cpp
@@ -0,0 +1,73 @@
+// Ejection of outliers and backoff.
+#include "src/limits/ejection.hpp"
+
+#include <gtest/gtest.h>
+
+#include "tests/scene.hpp"
+
+namespace tulipyoke::limits {
+namespace {
+
+class EjectionTest : public testing::Test {
+ protected:
+  bool Eject(Micros now, OutlierSign sign = OutlierSign::kSlow) {
+    return ejection_.Eject(now, sign, scales_, random_);
+  }
+
+  const estimates::TimeScales scales_{estimates::Normalized(TestSettings())};
+  estimates::Random random_{1};
+  Ejection ejection_;
+  const Micros now_ = 100 * kSecond;
+};
+
+TEST_F(EjectionTest, AFailureEjectsAndBacksOff) {
+  EXPECT_FALSE(ejection_.ejected());
+  EXPECT_TRUE(Eject(now_));
+  EXPECT_TRUE(ejection_.ejected());
+  EXPECT_TRUE(ejection_.InBackoff(now_));
+  EXPECT_FALSE(ejection_.InBackoff(now_ + 75 * kMs));
+}
+
+// Guards against failures of attempts sent before that put the next trial off again and again.
+TEST_F(EjectionTest, OnlyAFailedTrialRenewsIt) {
+  Eject(now_);
+  EXPECT_FALSE(Eject(now_ + kMs));
+  EXPECT_EQ(ejection_.since(), now_);
+  EXPECT_TRUE(Eject(now_ + 100 * kMs));
+  EXPECT_EQ(ejection_.since(), now_ + 100 * kMs);
+}
+
+TEST_F(EjectionTest, BackoffDoublesUpToTheLongestObjective) {
+  Micros longest = 0;
+  for (int i = 0; i < 10; ++i) {
+    ejection_.BackOff(now_, scales_, random_);
+    EXPECT_GE(ejection_.backoff(), longest);
+    longest = ejection_.backoff();
+  }
+  EXPECT_EQ(longest, 400 * kMs);
+  EXPECT_FALSE(ejection_.ejected());
+  ejection_.Answered(now_, kSecond);
+  EXPECT_EQ(ejection_.backoff(), 0);
+}
+
+TEST_F(EjectionTest, ALongUnreachableServerMayHaveBeenRestarted) {
+  Eject(now_, OutlierSign::kUnreachable);
+  EXPECT_FALSE(ejection_.Answered(now_ + kSecond, kSecond));
+  EXPECT_TRUE(ejection_.Answered(now_ + kSecond + 1, kSecond));
+  ejection_.Reinstate();
+  EXPECT_FALSE(ejection_.ejected());
+  Eject(now_, OutlierSign::kSlow);
+  EXPECT_FALSE(ejection_.Answered(now_ + 9 * kSecond, kSecond));
+}
+
+TEST_F(EjectionTest, ARestartAfterTheFailureReinstates) {
+  Eject(now_);
+  ejection_.Restarted(now_ - kSecond);
+  EXPECT_TRUE(ejection_.ejected());
+  EXPECT_FALSE(ejection_.InBackoff(now_));
+  ejection_.Restarted(now_ + kSecond);
+  EXPECT_FALSE(ejection_.ejected());
+}
+
+}  // namespace
+}  // namespace tulipyoke::limits
--- a/tests/limits_test.cpp
+++ b/tests/limits/list_pace_test.cpp
@@ -1,13 +1,12 @@
-// What all routers pay together, as the packages under src/limits/ decide it: by themselves, without a
-// module.
+// When routers ask for the endpoint list again: many of them together, and each by itself.
+#include "src/limits/list_pace.hpp"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <map>
 #include <vector>
 
-#include "src/limits/crowding.hpp"
-#include "src/limits/list_pace.hpp"
 #include "tests/scene.hpp"
 
 namespace tulipyoke::limits {
@@ -97,60 +96,5 @@
   }
 }
 
-// A client's further try says so by the shorter wait that it has left. Where all clients are impatient alike,
-// none is late.
-TEST(FirstTries, AShorterWaitThanMostHaveTellsAFurtherTry) {
-  FirstTries seen;
-  for (int i = 0; i < 40; ++i) {
-    const bool further = i % 5 < 2;  // two in five
-    const bool late = seen.IsLate(further ? 500 * kMs : 820 * kMs, 400 * kMs);
-    if (i >= 4) {
-      EXPECT_EQ(late, further) << i;
-    }
-  }
-  FirstTries impatient;
-  for (int i = 0; i < 40; ++i) EXPECT_FALSE(impatient.IsLate(400 * kMs, 400 * kMs));
-}
-
-struct Taken {
-  int first = 0, further = 0;
-};
-// Of 1000 reads, every other one a further try, evenly over all chances.
-Taken TakenOf(Crowding& crowding, Micros now) {
-  Taken taken;
-  for (int i = 0; i < 1000; ++i) {
-    const bool late = i % 2 == 1;
-    if (crowding.TurnsAway(now, 2 * kSecond, late ? 0.2 : 1, i / 1000.0)) continue;
-    ++(late ? taken.further : taken.first);
-  }
-  return taken;
-}
-
-// Guards against a crowded group that turns first tries away and takes the same reads later, for little or
-// nothing.
-TEST(Crowding, FurtherTriesMakeRoomForFirstOnes) {
-  Crowding crowding;
-  const Micros now = 100 * kSecond;
-  EXPECT_EQ(TakenOf(crowding, now).further, 500);
-  while (crowding.Admitted(now, 2 * kSecond) > 0.5) crowding.Answered(now, 2 * kSecond, 50 * kMs, false);
-  const Taken taken = TakenOf(crowding, now);
-  EXPECT_GT(taken.first, 400);
-  EXPECT_LT(taken.further, 50);
-}
-
-// Guards against a router that sees an answer a second and turns most reads away for one late answer in ten,
-// as many as come with no crowd at all.
-TEST(Crowding, OneLateAnswerAfterASilenceTurnsFewAway) {
-  Crowding crowding;
-  Micros now = 100 * kSecond;
-  double turned_away = 0;
-  for (int i = 0; i < 200; ++i) {
-    now += kSecond;
-    crowding.Answered(now, 15 * kSecond, 50 * kMs, i % 10 != 0);
-    turned_away += 1 - crowding.Admitted(now, 15 * kSecond);
-  }
-  EXPECT_LT(turned_away / 200, 0.07);
-}
-
 }  // namespace
 }  // namespace tulipyoke::limits
--- /dev/null
+++ b/tests/policy/retry_test.cpp
@@ -0,0 +1,76 @@
+// Which requests are sent again after a failure, and which are rejected or failed.
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "tests/scene.hpp"
+
+namespace tulipyoke {
+namespace {
+
+struct RetryCase {
+  int class_index;
+  Status status;
+  bool resent;
+  bool refusable;  // when given up after this outcome
+};
+class RetryAfterTest : public testing::TestWithParam<RetryCase> {};
+
+TEST_P(RetryAfterTest, RetriesAndRejectsOnlyWhatMayBe) {
+  const RetryCase& c = GetParam();
+  Scene scene;
+  Settle(scene);
+  const auto to = *SentTo(scene.Arrive(1, c.class_index), 1);
+  scene.Advance(5 * kMs);
+  std::vector<Action> actions = scene.EndAttempt(1, to, c.status);
+  const auto more = scene.Advance(kSecond / 20);
+  actions.insert(actions.end(), more.begin(), more.end());
+  // An ejected server is tried again only after a health check.
+  const auto probed = scene.ReportHealthCheck(1, 0, true);
+  actions.insert(actions.end(), probed.begin(), probed.end());
+  const auto rest = scene.Advance(kSecond / 4);
+  actions.insert(actions.end(), rest.begin(), rest.end());
+  EXPECT_EQ(SentTo(actions, 1).has_value(), c.resent);
+  EXPECT_TRUE(c.refusable || !HasReject(actions, 1));
+  EXPECT_TRUE(c.resent || HasReject(actions, 1) || HasFail(actions, 1));
+}
+INSTANTIATE_TEST_SUITE_P(All, RetryAfterTest,
+                         testing::Values(RetryCase{kAnyRead, Status::kOverloaded, true, true},
+                                         RetryCase{kAnyRead, Status::kReset, true, true},
+                                         RetryCase{kAnyRead, Status::kError, true, true},
+                                         RetryCase{kKeyedWrite, Status::kConnectFailed, true, true},
+                                         RetryCase{kKeyedWrite, Status::kReset, true, false},
+                                         RetryCase{kKeyedWrite, Status::kError, true, false},
+                                         RetryCase{kUnsafeWrite, Status::kOverloaded, true, true},
+                                         RetryCase{kUnsafeWrite, Status::kConnectFailed, true, true},
+                                         RetryCase{kUnsafeWrite, Status::kReset, false, false},
+                                         RetryCase{kUnsafeWrite, Status::kError, false, false},
+                                         RetryCase{kUnsafeWrite, Status::kTimeout, false, false},
+                                         RetryCase{kUnsafeWrite, Status::kCancelled, false, false}));
+
+TEST(Retry, AKeyedWriteIsNotRetriedAfterItsWindow) {
+  Scene scene;
+  Settle(scene);
+  scene.Arrive(1, kKeyedWrite);
+  scene.Advance(650 * kMs);  // the window is 600 ms from the first send
+  const auto actions = scene.EndAttempt(1, 1, Status::kReset);
+  EXPECT_FALSE(SentTo(actions, 1));
+  EXPECT_TRUE(HasFail(actions, 1));
+}
+
+TEST(Retry, AnAttemptThatWasNotSentInTimeEndsTheRequest) {
+  Scene scene;
+  const auto to = *SentTo(scene.Arrive(1, kAnyRead), 1);
+  EXPECT_TRUE(HasReject(scene.EndAttempt(1, to, Status::kNotSent), 1));
+}
+
+TEST(Retry, EveryRequestIsAnsweredOnceByItsOwnDeadline) {
+  Scene scene;
+  scene.Arrive(1, kAnyRead, 0, 300 * kMs);  // shorter than the class's deadline
+  const auto actions = scene.Advance(310 * kMs);
+  EXPECT_EQ(Only<Reject>(actions).size() + Only<Fail>(actions).size(), 1u);
+  EXPECT_TRUE(Only<Reject>(scene.Advance(kSecond)).empty());
+}
+
+}  // namespace
+}  // namespace tulipyoke
--- a/tests/scene.hpp
+++ b/tests/scene.hpp
@@ -2,6 +2,7 @@
 #ifndef TULIPYOKE_TESTS_SCENE_HPP_
 #define TULIPYOKE_TESTS_SCENE_HPP_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -69,10 +70,10 @@
   // Server 1 leads; 2 and 3 follow.
   explicit Scene(Settings settings = TestSettings(), std::uint64_t seed = 1)
       : router_(settings, seed), now_(100 * kSecond) {
-    List(EndpointListKind::kCached, {Ready(1, true), Ready(2), Ready(3)});
+    UpdateList(EndpointListKind::kCached, {Ready(1, true), Ready(2), Ready(3)});
   }
 
-  std::vector<Action> Take(const Event& event) {
+  std::vector<Action> Handle(const Event& event) {
     std::vector<Action> actions;
     router_.handle(now_, event, actions);
     all_.insert(all_.end(), actions.begin(), actions.end());
@@ -82,18 +83,18 @@
     }
     return actions;
   }
-  std::vector<Action> List(EndpointListKind kind, std::vector<EndpointEntry> entries) {
-    return Take(EndpointListUpdate{kind, 1, std::move(entries)});
+  std::vector<Action> UpdateList(EndpointListKind kind, std::vector<EndpointEntry> entries) {
+    return Handle(EndpointListUpdate{kind, 1, std::move(entries)});
   }
   // Moves the clock, firing timers on the way; returns what was done.
-  std::vector<Action> Pass(Micros span) {
+  std::vector<Action> Advance(Micros span) {
     const std::size_t from = all_.size();
     const Micros end = now_ + span;
     while (!timers_.empty() && timers_.begin()->first <= end) {
       const auto [when, token] = *timers_.begin();
       timers_.erase(timers_.begin());
       now_ = std::max(now_, when);
-      Take(TimerFired{token});
+      Handle(TimerFired{token});
     }
     now_ = end;
     return {all_.begin() + static_cast<std::ptrdiff_t>(from), all_.end()};
@@ -106,25 +107,25 @@
     e.class_index = class_index;
     e.key = key;
     e.remaining = remaining;
-    return Take(e);
+    return Handle(e);
   }
-  // A probe's result `lag` behind the present.
-  std::vector<Action> Probed(ServerId id, Micros lag, bool primary = false) {
+  // A health check's result `lag` behind the present.
+  std::vector<Action> ReportHealthCheck(ServerId id, Micros lag, bool primary = false) {
     HealthCheckEnded e;
     e.server = id;
     e.report = {static_cast<float>(static_cast<double>(now_ - lag) / 1e6), primary ? 1.0F : 0.0F};
-    return Take(e);
+    return Handle(e);
   }
-  std::vector<Action> ProbeFailed(ServerId id) {
+  std::vector<Action> FailHealthCheck(ServerId id) {
     HealthCheckEnded e;
     e.server = id;
     e.status = Status::kTimeout;
-    return Take(e);
+    return Handle(e);
   }
   // The outcome of the request's newest attempt, or of the one given.
-  std::vector<Action> End(RequestId id, ServerId server, Status status, Role role = Role::kUnknown,
-                          std::optional<std::int64_t> position_ms = {}, int attempt = -1, bool over = false,
-                          Micros elapsed = 20 * kMs) {
+  std::vector<Action> EndAttempt(RequestId id, ServerId server, Status status, Role role = Role::kUnknown,
+                                 std::optional<std::int64_t> position_ms = {}, int attempt = -1,
+                                 bool over = false, Micros elapsed = 20 * kMs) {
     AttemptEnded e;
     e.id = id;
     e.attempt = attempt < 0 ? sent_[id] - 1 : attempt;
@@ -134,7 +135,7 @@
     e.request_ended = over || status == Status::kOk;
     e.role = role;
     e.position_ms = position_ms;
-    return Take(e);
+    return Handle(e);
   }
   const Router& router() const { return router_; }
   Micros now() const { return now_; }
@@ -165,6 +166,42 @@
   return std::nullopt;
 }
 
+// Replicas 2 and 3 show positions that are so far behind, and server 1 that it is the primary.
+inline void Settle(Scene& scene, Micros lag2 = 0, Micros lag3 = 0) {
+  scene.Advance(80 * kMs);  // health checks are due again then
+  scene.ReportHealthCheck(1, 0, true);
+  scene.ReportHealthCheck(2, lag2);
+  scene.ReportHealthCheck(3, lag3);
+}
+
+// Settings where servers hold a read until they have applied its position.
+inline Settings WaitingSettings() {
+  Settings s = TestSettings();
+  s.staleness_guard = StalenessGuard::kWait;
+  s.catch_up_wait = 50 * kMs;
+  return s;
+}
+
+inline bool HasReject(const std::vector<Action>& actions, RequestId id) {
+  const auto rejections = Only<Reject>(actions);
+  return std::any_of(rejections.begin(), rejections.end(), [&](const Reject& r) { return r.id == id; });
+}
+
+inline bool HasFail(const std::vector<Action>& actions, RequestId id) {
+  const auto failures = Only<Fail>(actions);
+  return std::any_of(failures.begin(), failures.end(), [&](const Fail& f) { return f.id == id; });
+}
+
+// A session read that carries how long ago its session wrote.
+inline std::vector<Action> ArriveCarrying(Scene& scene, RequestId id, double ms_since_write) {
+  RequestArrived e;
+  e.id = id;
+  e.class_index = kSessionRead;
+  e.remaining = kSecond;
+  e.ms_since_write = ms_since_write;
+  return scene.Handle(e);
+}
+
 }  // namespace tulipyoke
 
 #endif  // TULIPYOKE_TESTS_SCENE_HPP_
