--- /dev/null
+++ b/tests/endpoints/list_refresh_test.cpp
@@ -0,0 +1,32 @@
+// When the endpoint list is asked for anew.
+#include "src/endpoints/list_refresh.hpp"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "tests/scene.hpp"
+
+namespace tulipyoke::endpoints {
+namespace {
+
+TEST(ListRefresh, AsksAtHalfTheAgeThatAListMayHave) {
+  Settings settings = TestSettings();
+  settings.poll_endpoint_list = true;
+  settings.max_list_age = 4 * kSecond;
+  const RoutingContext context(settings, 1);
+  ListRefresh refresh(context);
+  std::vector<Action> actions;
+  for (Micros now = 100 * kSecond; now <= 106 * kSecond; now += 100 * kMs) {
+    EventScope scope{now, actions};
+    refresh.RunIfDue(scope);
+  }
+  EXPECT_EQ(Only<WatchEndpointList>(actions).size(), 4u);
+  refresh.Failed(106 * kSecond);
+  EventScope soon{106 * kSecond + 400 * kMs, actions};
+  refresh.RunIfDue(soon);
+  EXPECT_EQ(Only<WatchEndpointList>(actions).size(), 5u);
+}
+
+}  // namespace
+}  // namespace tulipyoke::endpoints
--- /dev/null
+++ b/tests/endpoints/outcome_observer_test.cpp
@@ -0,0 +1,47 @@
+// What outcomes tell of servers.
+#include "src/endpoints/outcome_observer.hpp"
+
+#include <gtest/gtest.h>
+
+#include "tests/endpoints/endpoint_fixture.hpp"
+
+namespace tulipyoke::endpoints {
+namespace {
+
+using OutcomeObserverTest = EndpointFixture;
+
+TEST_F(OutcomeObserverTest, AnOutcomeTellsLatencyAndPosition) {
+  Apply(EndpointListKind::kCached, {Ready(1, true), Ready(2)});
+  sessions::ConsistencyTokens tokens;
+  OutcomeObserver observer(context_, table_, tokens);
+  AttemptEnded outcome;
+  outcome.server = 2;
+  outcome.elapsed = 390 * kMs;
+  outcome.role = Role::kReplica;
+  outcome.position_ms = now_ / kMs - 5;
+  Server& server = table_.At(2);
+  observer.ObserveAttempt(server, {.id = 1, .class_index = kAnyRead, .sent = now_ - 390 * kMs}, outcome,
+                          now_);
+  EXPECT_GT(server.slowness.At(now_, kSecond), 1.5);
+  EXPECT_EQ(server.position.value(), now_ - 5 * kMs);
+  EXPECT_EQ(server.role, Role::kReplica);
+  EXPECT_LT(table_.GroupAt(0).admission.AdmittedShare(now_, kSecond), 1);  // it was late
+  EXPECT_FALSE(server.concurrency_limit.Admits(1));
+}
+
+TEST_F(OutcomeObserverTest, ACommitIsRecordedForItsSession) {
+  Apply(EndpointListKind::kCached, {Ready(1, true), Ready(2)});
+  sessions::ConsistencyTokens tokens;
+  OutcomeObserver observer(context_, table_, tokens);
+  AttemptEnded outcome;
+  outcome.role = Role::kPrimary;
+  outcome.position_ms = 77;
+  observer.ObserveAttempt(table_.At(1), {.id = 1, .class_index = kKeyedWrite, .key = 5}, outcome, now_);
+  EXPECT_EQ(tokens.Required(5, 0), 77 * kMs);
+  outcome.position_ms.reset();  // not told: taken to be now
+  observer.ObserveAttempt(table_.At(1), {.id = 2, .class_index = kKeyedWrite, .key = 6}, outcome, now_);
+  EXPECT_EQ(tokens.Required(6, 0), now_);
+}
+
+}  // namespace
+}  // namespace tulipyoke::endpoints
--- /dev/null
+++ b/tests/endpoints/server_test.cpp
@@ -0,0 +1,40 @@
+// What is known of one server.
+#include "src/endpoints/server.hpp"
+
+#include <gtest/gtest.h>
+
+#include "tests/endpoints/endpoint_fixture.hpp"
+
+namespace tulipyoke::endpoints {
+namespace {
+
+using ServerTest = EndpointFixture;
+
+TEST_F(ServerTest, ANewBootTimeForgetsWhatWasLearned) {
+  Apply(EndpointListKind::kCached, {Ready(1), Ready(2)});
+  Server& server = table_.At(2);
+  server.slowness.Observe(now_, context_.scales, 5);
+  server.failures.Observe(now_, true, kSecond);
+  EndpointEntry restarted = Ready(2);
+  restarted.boot_time = now_ + 1;
+  Apply(EndpointListKind::kDelta, {restarted});
+  EXPECT_DOUBLE_EQ(server.slowness.At(now_, kSecond), 1);
+  EXPECT_DOUBLE_EQ(server.failures.At(now_, kSecond), 0);
+  EXPECT_EQ(server.slow_start_from, now_ + 1);
+}
+
+TEST_F(ServerTest, AnEjectedServerAdmitsOneTrialAfterACheck) {
+  Apply(EndpointListKind::kCached, {Ready(1)});
+  Server& server = table_.At(1);
+  EXPECT_TRUE(server.AdmitsTrial(true));
+  server.ejection.Eject(now_, limits::OutlierSign::kSlow, context_.scales, context_.random);
+  EXPECT_FALSE(server.AdmitsTrial(true));
+  EXPECT_TRUE(server.AdmitsTrial(false));  // where there are no health checks
+  server.health_check.succeeded = now_;
+  EXPECT_TRUE(server.AdmitsTrial(true));
+  server.in_flight.Add({.id = 1, .sent = now_});
+  EXPECT_FALSE(server.AdmitsTrial(true));
+}
+
+}  // namespace
+}  // namespace tulipyoke::endpoints
--- /dev/null
+++ b/tests/policy/ejection_routing_test.cpp
@@ -0,0 +1,78 @@
+// Ejection and reinstatement of servers.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+
+#include "tests/scene.hpp"
+
+namespace tulipyoke {
+namespace {
+
+TEST(OutlierDetection, ASilentServerIsEjected) {
+  Scene scene;
+  Settle(scene);
+  const auto silent = *SentTo(scene.Arrive(1, kAnyRead), 1);
+  scene.Advance(390 * kMs);
+  const auto after = scene.EndAttempt(1, silent, Status::kTimeout, Role::kUnknown, {}, -1, true, 390 * kMs);
+  EXPECT_EQ(Only<CheckHealth>(after).size(), 1u);
+  for (RequestId id = 2; id < 8; ++id) EXPECT_NE(SentTo(scene.Arrive(id, kAnyRead), id), silent);
+}
+
+// A client with little time tells nothing of the server.
+TEST(OutlierDetection, AShortTimeOutIsNoSignOfTheServer) {
+  Scene scene;
+  Settle(scene);
+  const auto to = *SentTo(scene.Arrive(1, kAnyRead), 1);
+  scene.Advance(30 * kMs);
+  const auto after = scene.EndAttempt(1, to, Status::kTimeout, Role::kUnknown, {}, -1, true, 30 * kMs);
+  EXPECT_TRUE(Only<CheckHealth>(after).empty());
+}
+
+TEST(OutlierDetection, AnEjectedServerIsTriedByOneRequestAfterAHealthCheck) {
+  Scene scene;
+  Settle(scene);
+  scene.Arrive(1, kUnsafeWrite);
+  scene.Advance(10 * kMs);
+  scene.EndAttempt(1, 1, Status::kReset);
+  scene.FailHealthCheck(1);
+  EXPECT_FALSE(SentTo(scene.Arrive(2, kUnsafeWrite), 2));
+  scene.Advance(120 * kMs);
+  scene.Arrive(3, kUnsafeWrite);
+  const auto sent = Only<Send>(scene.ReportHealthCheck(1, 0, true));
+  EXPECT_EQ(sent.size(), 1u);
+}
+
+// Guards against leaving out one server after the other where connections break at all of them alike, and
+// against sending on and on to one that fails at once, which looks idle: it is tried again after a while.
+TEST(OutlierDetection, AServerIsJudgedByItsShareOfFailures) {
+  Scene s;
+  RequestId id = 0;
+  std::map<ServerId, int> sends;
+  const auto play = [&](int count, auto status) {
+    sends.clear();
+    for (int i = 0; i < count; ++i, s.Advance(20 * kMs)) {
+      const RequestId next = ++id;
+      std::optional<ServerId> to = SentTo(s.Arrive(next, kAnyRead), next);
+      for (int tries = 0; to; ++tries) {
+        ++sends[*to];
+        to = SentTo(s.EndAttempt(next, *to, status(*to, tries), Role::kReplica), next);
+      }
+      s.ReportHealthCheck(2, 0);
+      s.ReportHealthCheck(3, 0);
+    }
+  };
+  play(100, [&](ServerId, int tries) { return id % 3 == 0 && tries == 0 ? Status::kReset : Status::kOk; });
+  EXPECT_GE(sends[2], 30);
+  EXPECT_GE(sends[3], 30);
+  ServerId bad = 0;
+  play(100, [&](ServerId to, int) {
+    if (bad == 0) bad = to;
+    return to == bad ? Status::kError : Status::kOk;
+  });
+  EXPECT_LE(sends[bad], 30);
+  EXPECT_GE(sends[bad == 2 ? 3 : 2], 70);
+}
+
+}  // namespace
+}  // namespace tulipyoke
--- /dev/null
+++ b/tests/policy/oracle_world.hpp
@@ -0,0 +1,404 @@
+// Servers, clients and an endpoint list around one Router, driven by seeded random events. Every field of
+// every action of the Router enters a hash.
+#ifndef TULIPYOKE_TESTS_POLICY_ORACLE_WORLD_HPP_
+#define TULIPYOKE_TESTS_POLICY_ORACLE_WORLD_HPP_
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "tests/scene.hpp"
+
+namespace tulipyoke::oracle {
+
+inline constexpr int kStepsPerScenario = 4000;
+inline constexpr int kStepsPerPhase = 400;
+inline constexpr int kServers = 9;
+inline constexpr int kGroups = 2;
+
+// A generator that gives the same numbers with every standard library (SplitMix64).
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) {}
+  std::uint64_t Next() {
+    state_ += 0x9e3779b97f4a7c15;
+    std::uint64_t z = state_;
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+    return z ^ (z >> 31);
+  }
+  // In [0, limit).
+  int Below(int limit) { return static_cast<int>(Next() % static_cast<std::uint64_t>(limit)); }
+  bool OneIn(int count) { return Below(count) == 0; }
+
+ private:
+  std::uint64_t state_;
+};
+
+// 64-bit FNV-1a.
+class Hash {
+ public:
+  void AddByte(std::uint8_t byte) { value_ = (value_ ^ byte) * 0x100000001b3; }
+  void Add(std::uint64_t number) {
+    for (int shift = 0; shift < 64; shift += 8) AddByte(static_cast<std::uint8_t>(number >> shift));
+  }
+  void Add(const std::string& text) {
+    Add(static_cast<std::uint64_t>(text.size()));
+    for (const char c : text) AddByte(static_cast<std::uint8_t>(c));
+  }
+  std::uint64_t value() const { return value_; }
+
+ private:
+  std::uint64_t value_ = 0xcbf29ce484222325;
+};
+
+inline std::uint64_t Bits(Micros signed_number) { return static_cast<std::uint64_t>(signed_number); }
+
+// Adds every field of an action.
+struct FieldHasher {
+  Hash& hash;
+
+  void operator()(const Send& action) const {
+    hash.Add(action.id);
+    hash.Add(action.server);
+    hash.Add(Bits(action.timeout));
+  }
+  void operator()(const Reject& action) const {
+    hash.Add(action.id);
+    hash.Add(Bits(action.retry_after));
+  }
+  void operator()(const Fail& action) const { hash.Add(action.id); }
+  void operator()(const Cancel& action) const {
+    hash.Add(action.id);
+    hash.Add(Bits(action.attempt));
+  }
+  void operator()(const SetTimer& action) const {
+    hash.Add(Bits(action.delay));
+    hash.Add(action.token);
+  }
+  void operator()(const CheckHealth& action) const { hash.Add(action.server); }
+  void operator()(const CloseIdle& action) const { hash.Add(action.server); }
+  void operator()(const Gossip& action) const {
+    hash.Add(Bits(action.peer.value_or(-1)));
+    hash.Add(action.bytes);
+  }
+  void operator()(const Log& action) const { hash.Add(action.text); }
+  void operator()(const WatchEndpointList& action) const { hash.Add(action.on ? 1 : 0); }
+  void operator()(const FetchEndpointList&) const {}
+};
+
+// How the servers behave for a while.
+enum Phase { kCalm, kCrowded, kFailing, kLagging, kFaultyServer, kUnreachable, kPhaseCount };
+
+struct AttemptInFlight {
+  RequestId id = 0;
+  int attempt = 0;
+  ServerId server = 0;
+  Micros sent = 0;
+};
+
+struct RequestRecord {
+  int class_index = 0;
+  int sends = 0;
+  bool ended = false;
+};
+
+struct Outcome {
+  std::uint64_t hash = 0;
+  std::uint64_t actions = 0;
+  std::array<int, std::variant_size_v<Action>> kinds{};
+};
+
+// Servers, clients and an endpoint list around one Router.
+class World {
+ public:
+  World(const Settings& settings, std::uint64_t seed, ServerId first_server)
+      : settings_(settings),
+        router_(settings, seed),
+        random_(seed * 7919 + 1),
+        now_(100 * kSecond),
+        first_server_(first_server) {
+    position_.fill(now_);
+    StartList();
+  }
+
+  Outcome Run() {
+    for (int step = 0; step < kStepsPerScenario; ++step) {
+      if (step % kStepsPerPhase == 0) ChangePhase();
+      Step();
+      if (step % 32 == 0) HashQueries();
+    }
+    Pass(5 * kSecond);
+    HashQueries();
+    outcome_.hash = hash_.value();
+    return outcome_;
+  }
+
+ private:
+  void StartList() {
+    EndpointList list;
+    for (ServerId id = 1; id <= 7; ++id) list.push_back(EntryOf(id, id == 1 || id == 6));
+    Take(EndpointListUpdate{EndpointListKind::kCached, 1, list});
+  }
+  using EndpointList = std::vector<EndpointEntry>;
+
+  EndpointEntry EntryOf(ServerId id, bool primary) const {
+    EndpointEntry entry = Ready(IdOf(id), primary, id < 6 ? 0 : 1);
+    entry.zone = static_cast<int>(id % 3);
+    return entry;
+  }
+  // Servers are numbered from 1 here; the Router knows them by other ids.
+  ServerId IdOf(ServerId number) const { return number - 1 + first_server_; }
+  ServerId NumberOf(ServerId id) const { return id + 1 - first_server_; }
+  void ChangePhase() {
+    phase_ = static_cast<Phase>(random_.Below(kPhaseCount));
+    faulty_ = static_cast<ServerId>(1 + random_.Below(kServers));
+    if (random_.OneIn(3)) primaries_[0] = static_cast<ServerId>(1 + random_.Below(5));
+    if (random_.OneIn(4)) primaries_[1] = static_cast<ServerId>(6 + random_.Below(4));
+  }
+
+  void Step() {
+    const int roll = random_.Below(100);
+    if (roll < 30) return Arrive();
+    if (roll < 62) return EndAttempt();
+    if (roll < 73) return EndProbe();
+    if (roll < 76) return ChangeList();
+    if (roll < 78) return LeaveRequest();
+    if (roll < 80) return OtherEvent();
+    Pass(1 + random_.Below(phase_ == kCrowded ? 4000 : 30000));
+  }
+
+  void Arrive() {
+    RequestArrived event;
+    event.id = ++newest_request_;
+    event.class_index = random_.Below(static_cast<int>(settings_.classes.size()));
+    if (random_.OneIn(200)) event.class_index = 40;
+    event.tenant = random_.Below(2);
+    event.group = random_.OneIn(4) ? 1 : 0;
+    if (random_.OneIn(200)) event.group = 9;
+    event.key = static_cast<std::uint64_t>(random_.Below(25));
+    event.remaining = random_.OneIn(4) ? random_.Below(900) * kMs : kSecond;
+    if (random_.OneIn(2)) event.ms_since_write = random_.Below(300000) / 256.0;
+    event.is_retry = random_.OneIn(5);
+    requests_[event.id].class_index = event.class_index;
+    Take(event);
+  }
+
+  void EndAttempt() {
+    if (attempts_.empty()) return;
+    const int index = random_.Below(static_cast<int>(attempts_.size()));
+    const AttemptInFlight attempt = attempts_[static_cast<std::size_t>(index)];
+    attempts_.erase(attempts_.begin() + index);
+    RequestRecord& request = requests_[attempt.id];
+    if (phase_ == kCrowded && random_.OneIn(2)) Pass(random_.Below(200) * kMs);
+    AttemptEnded event;
+    event.id = attempt.id;
+    event.attempt = attempt.attempt;
+    event.server = IdOf(attempt.server);
+    event.status = DrawStatus(attempt.server, request.class_index);
+    event.elapsed = now_ - attempt.sent;
+    if (random_.OneIn(50)) event.elapsed = random_.Below(2000) * kMs;
+    event.request_ended = event.status == Status::kOk || request.ended || random_.OneIn(40);
+    const bool told = event.status == Status::kOk || event.status == Status::kStaleOrWrongRole;
+    if (told && !random_.OneIn(10)) {
+      event.role = IsPrimary(attempt.server) ? Role::kPrimary : Role::kReplica;
+      event.position_ms = Advance(attempt.server) / kMs;
+    }
+    if (told && settings_.load_report_source == LoadReportSource::kResponses)
+      event.report = DrawReport(attempt.server);
+    if (event.request_ended) request.ended = true;
+    Take(event);
+  }
+
+  Status DrawStatus(ServerId server, int class_index) {
+    static constexpr Status kFaults[] = {
+        Status::kStaleOrWrongRole, Status::kError,   Status::kOverloaded, Status::kReset,
+        Status::kConnectFailed,    Status::kTimeout, Status::kNotSent,    Status::kCancelled};
+    const bool write = class_index >= 4;
+    if (write && !IsPrimary(server)) return Status::kStaleOrWrongRole;
+    const bool faulty = server == faulty_;
+    if (phase_ == kFaultyServer && faulty) return random_.OneIn(2) ? Status::kReset : Status::kError;
+    if (phase_ == kUnreachable && faulty) return random_.OneIn(2) ? Status::kTimeout : Status::kReset;
+    if (phase_ == kCrowded && random_.OneIn(4))
+      return random_.OneIn(2) ? Status::kOverloaded : Status::kTimeout;
+    if (phase_ == kLagging && random_.OneIn(2)) return Status::kStaleOrWrongRole;
+    const int chance = phase_ == kFailing ? 2 : 15;
+    return random_.OneIn(chance) ? kFaults[random_.Below(8)] : Status::kOk;
+  }
+  bool IsPrimary(ServerId server) const { return server == primaries_[0] || server == primaries_[1]; }
+
+  // Moves the position that the server has applied, and returns it.
+  Micros Advance(ServerId server) {
+    Micros& position = position_[server];
+    const Micros behind = now_ - settings_.position_epoch - position;
+    const bool stands = phase_ == kLagging && server % 2 == 0;
+    if (!stands && behind > 0) position += behind * (50 + random_.Below(51)) / 100;
+    return position;
+  }
+  Report DrawReport(ServerId server) {
+    Report report;
+    const Micros position = Advance(server);
+    const int queue = phase_ == kCrowded ? random_.Below(12) : 0;
+    for (const std::string& field : settings_.report_fields) {
+      double value = 0;
+      if (field == "x0") value = static_cast<double>(position) / 1e6;
+      if (field == "x1") value = IsPrimary(server) ? 1 : 0;
+      if (field == "queue") value = queue;
+      if (field == "inflight") value = queue + 3;
+      if (random_.OneIn(60)) value = -1;
+      report.push_back(static_cast<double>(static_cast<float>(value)));
+    }
+    return report;
+  }
+
+  void EndProbe() {
+    HealthCheckEnded event;
+    event.server = static_cast<ServerId>(1 + random_.Below(kServers + 1));
+    if (!probes_.empty()) {
+      const int index = random_.Below(static_cast<int>(probes_.size()));
+      event.server = probes_[static_cast<std::size_t>(index)];
+      probes_.erase(probes_.begin() + index);
+    } else if (!random_.OneIn(3)) {
+      return;
+    }
+    const bool fails = phase_ == kUnreachable && event.server == faulty_;
+    if (fails || random_.OneIn(20)) event.status = random_.OneIn(3) ? Status::kOverloaded : Status::kTimeout;
+    event.elapsed = random_.Below(20) * kMs;
+    if (event.status == Status::kOk && event.server <= kServers) event.report = DrawReport(event.server);
+    event.server = IdOf(event.server);
+    Take(event);
+  }
+
+  void ChangeList() {
+    static constexpr EndpointListKind kKinds[] = {EndpointListKind::kDelta,  EndpointListKind::kDelta,
+                                                  EndpointListKind::kDelta,  EndpointListKind::kFull,
+                                                  EndpointListKind::kCached, EndpointListKind::kFailed};
+    EndpointListUpdate event;
+    event.kind = kKinds[random_.Below(6)];
+    event.version = ++list_version_;
+    const bool whole = event.kind == EndpointListKind::kFull || event.kind == EndpointListKind::kCached;
+    const int first = whole ? 1 : 1 + random_.Below(kServers);
+    const int last = whole ? kServers : first;
+    for (int id = first; id <= last && event.kind != EndpointListKind::kFailed; ++id) {
+      if (whole && random_.OneIn(8)) continue;
+      event.entries.push_back(DrawEntry(static_cast<ServerId>(id), whole));
+    }
+    Take(event);
+  }
+  EndpointEntry DrawEntry(ServerId id, bool whole) {
+    EndpointEntry entry = EntryOf(id, IsPrimary(id));
+    if (random_.OneIn(whole ? 12 : 3)) {
+      entry.state = random_.OneIn(2) ? ServerState::kDraining : ServerState::kGone;
+    }
+    if (random_.OneIn(whole ? 20 : 3)) entry.boot_time = now_ - random_.Below(5000) * kMs;
+    return entry;
+  }
+
+  void LeaveRequest() {
+    if (newest_request_ == 0) return;
+    const RequestId back = static_cast<RequestId>(random_.Below(40));
+    const RequestId id = newest_request_ > back ? newest_request_ - back : 1;
+    requests_[id].ended = true;
+    if (random_.OneIn(4)) return Take(TimerFired{id});
+    Take(RequestCancelled{id});
+  }
+
+  void OtherEvent() {
+    const ServerId server = IdOf(static_cast<ServerId>(1 + random_.Below(kServers + 1)));
+    const Micros position = now_ - settings_.position_epoch - random_.Below(400) * kMs;
+    switch (random_.Below(6)) {
+      case 0: {
+        const auto key = static_cast<std::uint64_t>(random_.Below(25));
+        return Take(SessionCommit{key, random_.Below(kGroups), position / kMs});
+      }
+      case 1: {
+        const Role role = static_cast<Role>(random_.Below(3));
+        const Micros role_time = now_ - random_.Below(1000) * kMs;
+        return Take(ServerObservation{server, role, role_time, random_.OneIn(4) ? 0 : position / kMs});
+      }
+      case 2:
+        return Take(SessionSync{false, false});
+      case 3:
+        return Take(SessionSync{true, random_.OneIn(4)});
+      case 4:
+        return Take(ResponseStarted{newest_request_, 0, server});
+      default:
+        return Take(PeerMessage{1, "bytes"});
+    }
+  }
+
+  // Moves the clock and fires the timers that are due on the way.
+  void Pass(Micros span) {
+    const Micros end = now_ + span;
+    while (!timers_.empty() && timers_.begin()->first <= end) {
+      const auto [when, token] = *timers_.begin();
+      timers_.erase(timers_.begin());
+      now_ = std::max(now_, when);
+      Take(TimerFired{token});
+    }
+    now_ = end;
+  }
+
+  void Take(const Event& event) {
+    std::vector<Action> actions;
+    router_.handle(now_, event, actions);
+    hash_.Add(actions.size());
+    for (const Action& action : actions) Note(action);
+  }
+  void Note(const Action& action) {
+    ++outcome_.actions;
+    ++outcome_.kinds[action.index()];
+    hash_.Add(action.index());
+    std::visit(FieldHasher{hash_}, action);
+    if (const auto* timer = std::get_if<SetTimer>(&action))
+      timers_.emplace(now_ + timer->delay, timer->token);
+    if (const auto* probe = std::get_if<CheckHealth>(&action)) probes_.push_back(NumberOf(probe->server));
+    if (const auto* send = std::get_if<Send>(&action)) {
+      attempts_.push_back({send->id, requests_[send->id].sends++, NumberOf(send->server), now_});
+    }
+    if (const auto* refuse = std::get_if<Reject>(&action)) requests_[refuse->id].ended = true;
+    if (const auto* fail = std::get_if<Fail>(&action)) requests_[fail->id].ended = true;
+  }
+  // What the Router tells when asked.
+  void HashQueries() {
+    for (ServerId id = 1; id <= kServers + 1; ++id) {
+      hash_.Add(router_.avoids(now_, IdOf(id)) ? 1 : 0);
+      const ServerObservation shown = router_.observation(IdOf(id));
+      hash_.Add(static_cast<std::uint64_t>(shown.role));
+      hash_.Add(Bits(shown.role_time));
+      hash_.Add(Bits(shown.position_ms));
+    }
+    for (const SessionCommit& session : router_.known_commits(0)) {
+      hash_.Add(session.key);
+      hash_.Add(Bits(session.group));
+      hash_.Add(Bits(session.position_ms));
+    }
+  }
+
+  Settings settings_;
+  Router router_;
+  Random random_;
+  Micros now_;
+  ServerId first_server_;
+  Phase phase_ = kCalm;
+  ServerId faulty_ = 0;
+  std::array<ServerId, kGroups> primaries_ = {1, 6};
+  std::array<Micros, kServers + 2> position_{};
+  std::uint64_t list_version_ = 1;
+  RequestId newest_request_ = 0;
+  std::map<RequestId, RequestRecord> requests_;
+  std::vector<AttemptInFlight> attempts_;
+  std::vector<ServerId> probes_;
+  std::multimap<Micros, std::uint64_t> timers_;
+  Hash hash_;
+  Outcome outcome_;
+};
+
+}  // namespace tulipyoke::oracle
+
+#endif  // TULIPYOKE_TESTS_POLICY_ORACLE_WORLD_HPP_
--- a/tests/policy/outlier_detection_test.cpp
+++ b/tests/policy/outlier_detection_test.cpp
@@ -1,78 +1,60 @@
-// Ejection and reinstatement of servers.
-#include <gtest/gtest.h>
+// Outlier detection by itself.
+#include "src/policy/outlier_detection.hpp"
 
-#include <map>
-#include <optional>
+#include <gtest/gtest.h>
 
-#include "tests/scene.hpp"
+#include "tests/policy/policy_fixture.hpp"
 
-namespace tulipyoke {
+namespace tulipyoke::policy {
 namespace {
 
-TEST(OutlierDetection, ASilentServerIsEjected) {
-  Scene scene;
-  Settle(scene);
-  const auto silent = *SentTo(scene.Arrive(1, kAnyRead), 1);
-  scene.Advance(390 * kMs);
-  const auto after = scene.EndAttempt(1, silent, Status::kTimeout, Role::kUnknown, {}, -1, true, 390 * kMs);
-  EXPECT_EQ(Only<CheckHealth>(after).size(), 1u);
-  for (RequestId id = 2; id < 8; ++id) EXPECT_NE(SentTo(scene.Arrive(id, kAnyRead), id), silent);
-}
-
-// A client with little time tells nothing of the server.
-TEST(OutlierDetection, AShortTimeOutIsNoSignOfTheServer) {
-  Scene scene;
-  Settle(scene);
-  const auto to = *SentTo(scene.Arrive(1, kAnyRead), 1);
-  scene.Advance(30 * kMs);
-  const auto after = scene.EndAttempt(1, to, Status::kTimeout, Role::kUnknown, {}, -1, true, 30 * kMs);
-  EXPECT_TRUE(Only<CheckHealth>(after).empty());
+using OutlierDetectionTest = PolicyTest;
+
+TEST_F(OutlierDetectionTest, ResetsEjectAServerThatFailsMoreThanHalf) {
+  OutlierDetection outliers(context_, checks_);
+  endpoints::Server& server = table_.At(2);
+  AttemptEnded reset;
+  reset.status = Status::kReset;
+  endpoints::EventScope scope{kNow, actions_};
+  int resets = 0;
+  for (; !server.ejection.ejected() && resets < 20; ++resets) {
+    outliers.ObserveAttempt(server, {.id = 1, .class_index = kAnyRead, .sent = kNow}, reset, scope);
+  }
+  EXPECT_EQ(resets, 4);  // 1 - 0.8^4 is the first share over a half
+  AttemptEnded answer;
+  outliers.ObserveAttempt(server, {.id = 2, .class_index = kAnyRead, .sent = kNow}, answer, scope);
+  EXPECT_FALSE(server.ejection.ejected());
 }
 
-TEST(OutlierDetection, AnEjectedServerIsTriedByOneRequestAfterAHealthCheck) {
-  Scene scene;
-  Settle(scene);
-  scene.Arrive(1, kUnsafeWrite);
-  scene.Advance(10 * kMs);
-  scene.EndAttempt(1, 1, Status::kReset);
-  scene.FailHealthCheck(1);
-  EXPECT_FALSE(SentTo(scene.Arrive(2, kUnsafeWrite), 2));
-  scene.Advance(120 * kMs);
-  scene.Arrive(3, kUnsafeWrite);
-  const auto sent = Only<Send>(scene.ReportHealthCheck(1, 0, true));
-  EXPECT_EQ(sent.size(), 1u);
+TEST_F(OutlierDetectionTest, OnlyALateTimeoutWithoutAnAnswerSinceEjects) {
+  OutlierDetection outliers(context_, checks_);
+  AttemptEnded timeout;
+  timeout.status = Status::kTimeout;
+  timeout.elapsed = 30 * kMs;  // the client had no more time
+  endpoints::EventScope scope{kNow, actions_};
+  const estimates::InFlightAttempt attempt{.id = 1, .class_index = kAnyRead, .sent = kNow - 390 * kMs};
+  outliers.ObserveAttempt(table_.At(2), attempt, timeout, scope);
+  EXPECT_FALSE(table_.At(2).ejection.ejected());
+  timeout.elapsed = 390 * kMs;
+  table_.At(3).last_answer = kNow - 10 * kMs;
+  outliers.ObserveAttempt(table_.At(3), attempt, timeout, scope);
+  EXPECT_FALSE(table_.At(3).ejection.ejected());
+  outliers.ObserveAttempt(table_.At(2), attempt, timeout, scope);
+  EXPECT_TRUE(table_.At(2).ejection.ejected());
+  EXPECT_EQ(Only<CheckHealth>(actions_).size(), 1u);
 }
 
-// Guards against leaving out one server after the other where connections break at all of them alike, and
-// against sending on and on to one that fails at once, which looks idle: it is tried again after a while.
-TEST(OutlierDetection, AServerIsJudgedByItsShareOfFailures) {
-  Scene s;
-  RequestId id = 0;
-  std::map<ServerId, int> sends;
-  const auto play = [&](int count, auto status) {
-    sends.clear();
-    for (int i = 0; i < count; ++i, s.Advance(20 * kMs)) {
-      const RequestId next = ++id;
-      std::optional<ServerId> to = SentTo(s.Arrive(next, kAnyRead), next);
-      for (int tries = 0; to; ++tries) {
-        ++sends[*to];
-        to = SentTo(s.EndAttempt(next, *to, status(*to, tries), Role::kReplica), next);
-      }
-      s.ReportHealthCheck(2, 0);
-      s.ReportHealthCheck(3, 0);
-    }
-  };
-  play(100, [&](ServerId, int tries) { return id % 3 == 0 && tries == 0 ? Status::kReset : Status::kOk; });
-  EXPECT_GE(sends[2], 30);
-  EXPECT_GE(sends[3], 30);
-  ServerId bad = 0;
-  play(100, [&](ServerId to, int) {
-    if (bad == 0) bad = to;
-    return to == bad ? Status::kError : Status::kOk;
-  });
-  EXPECT_LE(sends[bad], 30);
-  EXPECT_GE(sends[bad == 2 ? 3 : 2], 70);
+TEST_F(OutlierDetectionTest, AFailedHealthCheckEjectsUnlessItWasRejected) {
+  OutlierDetection outliers(context_, checks_);
+  endpoints::EventScope scope{kNow, actions_};
+  outliers.ObserveHealthCheck(table_.At(2), Status::kOverloaded, scope);
+  EXPECT_FALSE(table_.At(2).ejection.ejected());
+  outliers.ObserveHealthCheck(table_.At(2), Status::kTimeout, scope);
+  EXPECT_TRUE(table_.At(2).ejection.ejected());
+  outliers.ObserveHealthCheck(table_.At(2), Status::kOk, scope);
+  EXPECT_EQ(table_.At(2).health_check.succeeded, kNow);
+  EXPECT_TRUE(table_.At(2).ejection.ejected());  // until an attempt is answered
 }
 
 }  // namespace
-}  // namespace tulipyoke
+}  // namespace tulipyoke::policy
