--- a/bench/dnssd_bench.cpp
+++ b/bench/dnssd_bench.cpp
@@ -106,7 +106,7 @@
   const auto mode = static_cast<Mode>(state.range(0));
   DnsZone zone(kZone);
   zone.Publish(Servers(static_cast<std::size_t>(state.range(1))));
-  DnsNetwork network(Options(mode), {&zone}, [](Micros, const Listing&) {});
+  DnsNetwork network(Options(mode), {&zone}, [](Micros, const EndpointList&) {});
   network.RunFor(60 * kSecond);
   const std::uint64_t before = network.messages;
   std::uint64_t seconds = 0;
@@ -133,7 +133,7 @@
     zone.Publish(Servers(40));
     Micros heard = 0;
     DnsNetwork network(Options(static_cast<Mode>(state.range(0))), {&zone},
-                       [&](Micros now, const Listing&) { heard = now; });
+                       [&](Micros now, const EndpointList&) { heard = now; });
     network.RunFor(2 * kSecond);
     std::mt19937 random(1);
     for (int i = 0; i < 400; ++i) {
@@ -170,7 +170,7 @@
     browser.Settle(kSecond,
                    {browser.TakeAsks().at(0).id, 0, dnssd::Trouble::kNone, {*dnssd::ReadMessage(soa.at(0))}});
     browser.Settle(kSecond, {browser.TakeAsks().at(0).id, 0, dnssd::Trouble::kNone, messages});
-    std::optional<Listing> listing;
+    std::optional<EndpointList> listing;
     while (!(listing = browser.TakeListing())) browser.Tick(kSecond);
     members.Heard(kSecond, 0, *listing);
     members.TakeListing();
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -84,7 +84,7 @@
     const DirectoryConfig config = ZonesOf(browse);
     const Micros start = clock.Now();
     bool told = false;
-    net::Directory directory(io, clock, config, [&](const Listing& listing) {
+    net::Directory directory(io, clock, config, [&](const EndpointList& listing) {
       told = true;
       for (const ListedServer& server : listing.servers) {
         out << (clock.Now() - start) / 1000 << " ms: " << server.id << " at " << server.address << " "
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -96,7 +96,7 @@
     if (json.contains("membership")) {
       config.directory = DirectoryFrom(json.at("membership"), "membership", config.settings);
       // What the list last was is the registry's word; without it nobody would ever take it back.
-      if (config.directory.registry() < 0) config.known = Listing();
+      if (config.directory.registry() < 0) config.known = EndpointList();
     }
     if (json.contains("log")) {
       CheckedObject log(json.at("log"), "log");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "src/config/directory_config.hpp"
-#include "src/exchange/listing.hpp"
+#include "src/dispatch/endpoint_list.hpp"
 #include "tulipyoke/router.hpp"
 
 namespace tulipyoke {
@@ -22,7 +22,7 @@
   int sockets = 0;
   int accept_fd = -1;     // the clients' listening socket where the platform holds it; -1: it does not
   std::string temporary;  // a folder that all processes of this router share; empty: none is known
-  Listing known;
+  EndpointList known;
   Settings settings;
   std::vector<std::string> zones, kinds;
   Micros connect_timeout = 0, idle_close = 0;
--- a/src/config/directory_config.hpp
+++ b/src/config/directory_config.hpp
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "src/dispatch/endpoint_list.hpp"
 #include "src/dnssd/browser.hpp"
 #include "src/dnssd/retries.hpp"
-#include "src/exchange/listing.hpp"
 #include "src/membership/membership.hpp"
 #include "tulipyoke/router.hpp"
 
@@ -24,7 +24,7 @@
   enum class Kind { kRegistry, kStatic, kDns };
   std::string name;
   Kind kind = Kind::kRegistry;
-  Listing fixed;  // of a static source
+  EndpointList fixed;  // of a static source
   DnsSource dns;
 };
 struct DirectoryConfig {
--- a/src/config/listing_json.cpp
+++ b/src/config/listing_json.cpp
@@ -46,9 +46,9 @@
 
 }  // namespace
 
-Listing ListingFrom(const Json& json) {
+EndpointList ListingFrom(const Json& json) {
   try {
-    Listing listing;
+    EndpointList listing;
     listing.version = json.at("revision").get<std::uint64_t>();
     listing.complete = json.at("complete").get<bool>();
     for (const Json& member : json.at("members")) {
@@ -60,7 +60,7 @@
   }
 }
 
-Listing ParseListing(std::string_view text) {
+EndpointList ParseListing(std::string_view text) {
   const Json json = Json::parse(text, nullptr, false);
   if (json.is_discarded()) throw std::runtime_error("no list of servers: not JSON");
   return ListingFrom(json);
--- a/src/config/listing_json.hpp
+++ b/src/config/listing_json.hpp
@@ -5,14 +5,14 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string_view>
 
-#include "src/exchange/listing.hpp"
+#include "src/dispatch/endpoint_list.hpp"
 
 namespace tulipyoke {
 
 // Both throw std::runtime_error in plain words where the text is no listing. Single entries that make no
 // sense are left out: one bad line must not hide the rest.
-Listing ListingFrom(const nlohmann::json& json);
-Listing ParseListing(std::string_view text);
+EndpointList ListingFrom(const nlohmann::json& json);
+EndpointList ParseListing(std::string_view text);
 
 }  // namespace tulipyoke
 
--- a/src/exchange/listing.hpp
+++ b/src/dispatch/endpoint_list.hpp
@@ -1,6 +1,6 @@
 // What discovery tells of the servers, whichever way it was asked.
-#ifndef TULIPYOKE_SRC_EXCHANGE_LISTING_HPP_
-#define TULIPYOKE_SRC_EXCHANGE_LISTING_HPP_
+#ifndef TULIPYOKE_SRC_DISPATCH_ENDPOINT_LIST_HPP_
+#define TULIPYOKE_SRC_DISPATCH_ENDPOINT_LIST_HPP_
 
 #include <cstdint>
 #include <string>
@@ -21,7 +21,7 @@
   bool operator==(const ListedServer&) const = default;
 };
 
-struct Listing {
+struct EndpointList {
   std::uint64_t version = 0;
   bool complete = false;  // the whole list, else only what changed
   std::vector<ListedServer> servers;
@@ -29,4 +29,4 @@
 
 }  // namespace tulipyoke
 
-#endif  // TULIPYOKE_SRC_EXCHANGE_LISTING_HPP_
+#endif  // TULIPYOKE_SRC_DISPATCH_ENDPOINT_LIST_HPP_
--- a/src/exchange/outcome.cpp
+++ b/src/dispatch/outcome.cpp
@@ -1,4 +1,4 @@
-#include "src/exchange/outcome.hpp"
+#include "src/dispatch/outcome.hpp"
 
 #include <charconv>
 #include <cmath>
@@ -6,7 +6,7 @@
 
 namespace tulipyoke {
 
-std::vector<std::pair<std::string, double>> ParseReport(const std::string& text) {
+std::vector<std::pair<std::string, double>> ParseLoadReport(const std::string& text) {
   std::vector<std::pair<std::string, double>> report;
   std::string_view rest = text;
   while (!rest.empty()) {
--- a/src/dnssd/browser.cpp
+++ b/src/dnssd/browser.cpp
@@ -566,7 +566,7 @@
   return listed(addresses.front());
 }
 
-void ZoneBrowser::List(const Name& name, Instance& instance, Listing& listing) {
+void ZoneBrowser::List(const Name& name, Instance& instance, EndpointList& listing) {
   bool keep = false;
   std::optional<ListedServer> listed = ListedFor(name, instance, keep);
   if (!listed && keep) {
@@ -612,9 +612,9 @@
   });
 }
 
-std::optional<Listing> ZoneBrowser::TakeListing() {
+std::optional<EndpointList> ZoneBrowser::TakeListing() {
   if (!told_ || (!whole_sent_ && !FirstIsWhole(now_))) return std::nullopt;
-  Listing listing;
+  EndpointList listing;
   listing.complete = !whole_sent_;
   for (ListedServer& listed : gone_) {
     listed.state = ServerState::kGone;
--- a/src/dnssd/browser.hpp
+++ b/src/dnssd/browser.hpp
@@ -1,6 +1,7 @@
 // The browser of one service in one zone (RFC 6763): PTR to instances, SRV, TXT and A/AAAA to addresses, and
 // a look at the zone's serial, so that an answer from an old copy is told from news. No I/O: what it wants
-// asked goes out as Asks, answers come in, and a Listing of what changed comes out. Times are microseconds.
+// asked goes out as Asks, answers come in, and a EndpointList of what changed comes out. Times are
+// microseconds.
 #ifndef TULIPYOKE_SRC_DNSSD_BROWSER_HPP_
 #define TULIPYOKE_SRC_DNSSD_BROWSER_HPP_
 
@@ -14,11 +15,11 @@
 #include <utility>
 #include <vector>
 
+#include "src/dispatch/endpoint_list.hpp"
 #include "src/dnssd/instance.hpp"
 #include "src/dnssd/message.hpp"
 #include "src/dnssd/retries.hpp"
 #include "src/dnssd/zone_copy.hpp"
-#include "src/exchange/listing.hpp"
 
 namespace tulipyoke::dnssd {
 
@@ -84,7 +85,7 @@
   // Resolvers that answered from an old copy.
   std::vector<std::size_t> TakeDistrusted() { return std::exchange(distrusted_, {}); }
   // The changes since the last call; the first one is the whole list, as soon as one has been told.
-  std::optional<Listing> TakeListing();
+  std::optional<EndpointList> TakeListing();
   std::vector<Remark> TakeRemarks() { return std::exchange(remarks_, {}); }
   Micros NextDue() const;
 
@@ -107,7 +108,7 @@
     std::optional<Attributes> attributes;
     std::string trouble;
     bool service_bad = false, text_bad = false;
-    std::optional<ListedServer> told;  // as the last Listing had it
+    std::optional<ListedServer> told;  // as the last EndpointList had it
   };
   struct Host {
     Fetch a, aaaa;
@@ -157,7 +158,7 @@
   bool Allowed(const std::string& address) const;
   // Nothing: it is not to be listed; `keep`: for a reason that leaves what was told before.
   std::optional<ListedServer> ListedFor(const Name& name, const Instance& instance, bool& keep) const;
-  void List(const Name& name, Instance& instance, Listing& listing);
+  void List(const Name& name, Instance& instance, EndpointList& listing);
   void Bad(const Name& name, Instance& instance, const std::string& text);
   void Say(const std::string& event, const std::string& text);
   void Well(const std::string& event) { said_.erase(event); }
--- a/src/dnssd/instance.hpp
+++ b/src/dnssd/instance.hpp
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "src/dispatch/endpoint_list.hpp"
 #include "src/dnssd/message.hpp"
-#include "src/exchange/listing.hpp"
 
 namespace tulipyoke::dnssd {
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -38,17 +38,17 @@
       heard_(sources_.size(), false),
       admission_(options.admission) {}
 
-void Membership::Heard(Micros now, std::size_t source, const Listing& listing) {
+void Membership::Heard(Micros now, std::size_t source, const EndpointList& listing) {
   Read(now, source, listing);
   heard_[source] = true;
   Tick(now);
 }
 
-void Membership::Remember(Micros now, std::size_t source, const Listing& listing) {
+void Membership::Remember(Micros now, std::size_t source, const EndpointList& listing) {
   Read(now, source, listing);
 }
 
-void Membership::Read(Micros now, std::size_t source, const Listing& listing) {
+void Membership::Read(Micros now, std::size_t source, const EndpointList& listing) {
   if (listing.complete) {
     std::set<std::string> named;
     for (const ListedServer& listed : listing.servers) {
@@ -327,9 +327,9 @@
   return due;
 }
 
-std::optional<Listing> Membership::TakeListing() {
+std::optional<EndpointList> Membership::TakeListing() {
   if (changes_.empty()) return std::nullopt;
-  Listing listing;
+  EndpointList listing;
   listing.version = ++version_;
   listing.servers = std::exchange(changes_, {});
   return listing;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -1,8 +1,8 @@
 // One view of the servers made of any number of sources: the platform's registry, DNS-SD zones, a list in the
 // configuration. Decides whose word holds, what a vanished entry means, when a name that returns is a new
 // process, who is held down for flapping and how many cold ones are let in at a time. Gives the exchange a
-// Listing; which server takes a request is the decision module's matter. No I/O. Times are microseconds of
-// one clock that was set to Unix time once.
+// EndpointList; which server takes a request is the decision module's matter. No I/O. Times are microseconds
+// of one clock that was set to Unix time once.
 #ifndef TULIPYOKE_SRC_MEMBERSHIP_MEMBERSHIP_HPP_
 #define TULIPYOKE_SRC_MEMBERSHIP_MEMBERSHIP_HPP_
 
@@ -15,7 +15,7 @@
 #include <utility>
 #include <vector>
 
-#include "src/exchange/listing.hpp"
+#include "src/dispatch/endpoint_list.hpp"
 #include "src/membership/admission.hpp"
 #include "src/membership/flapping.hpp"
 
@@ -66,15 +66,15 @@
   Membership(const Options& options, std::vector<std::string> sources);
 
   // A complete list tells that whoever is missing has vanished, as an entry that is gone does.
-  void Heard(Micros now, std::size_t source, const Listing& listing);
+  void Heard(Micros now, std::size_t source, const EndpointList& listing);
   // What a source last told, from before this start: its servers are known, but it has told no list yet.
-  void Remember(Micros now, std::size_t source, const Listing& listing);
+  void Remember(Micros now, std::size_t source, const EndpointList& listing);
   // The source is not followed any more: its word, drains included, counts no longer.
   void Dropped(Micros now, std::size_t source);
   void Tick(Micros now);
   std::optional<Micros> NextDue() const;
   // What changed since the last call; nothing where nothing did.
-  std::optional<Listing> TakeListing();
+  std::optional<EndpointList> TakeListing();
 
   std::vector<ServerView> View() const;
   const Counters& counters() const { return counters_; }
@@ -104,7 +104,7 @@
   };
   using Entry = std::pair<const std::string, Server>;
 
-  void Read(Micros now, std::size_t source, const Listing& listing);
+  void Read(Micros now, std::size_t source, const EndpointList& listing);
   void Take(Micros now, std::size_t source, const ListedServer& listed);
   void Vanish(Micros now, std::size_t source, Entry& entry);
   // Whether a new process is there, and what else that ends.
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -71,11 +71,11 @@
   }
 }
 
-void Directory::Remember(const Listing& known) {
+void Directory::Remember(const EndpointList& known) {
   membership_.Remember(clock_.Now(), static_cast<std::size_t>(config_.registry()), known);
 }
 
-void Directory::HeardRegistry(const Listing& listing) {
+void Directory::HeardRegistry(const EndpointList& listing) {
   const int registry = config_.registry();
   if (registry < 0) return;
   membership_.Heard(clock_.Now(), static_cast<std::size_t>(registry), listing);
@@ -89,7 +89,7 @@
     }
   }
   membership_.Tick(clock_.Now());
-  if (const std::optional<Listing> listing = membership_.TakeListing()) sink_(*listing);
+  if (const std::optional<EndpointList> listing = membership_.TakeListing()) sink_(*listing);
   std::optional<Micros> due = membership_.NextDue();
   for (const auto& zone : zones_) {
     const Micros next = zone->browser.NextDue();
@@ -122,7 +122,7 @@
     LogWarning(remark.event, "zone " + zone.name + ": " + remark.text,
                {{"source", zone.name}, {"why", remark.text}});
   }
-  if (const std::optional<Listing> listing = zone.browser.TakeListing()) {
+  if (const std::optional<EndpointList> listing = zone.browser.TakeListing()) {
     membership_.Heard(now, zone.source, *listing);
   }
   return moved;
--- a/src/net/directory.hpp
+++ b/src/net/directory.hpp
@@ -24,7 +24,7 @@
 
 class Directory {
  public:
-  using Sink = std::function<void(const Listing&)>;
+  using Sink = std::function<void(const EndpointList&)>;
 
   // The sink is given what changed, from the loop.
   Directory(asio::io_context& io, LoopClock& clock, const DirectoryConfig& config, Sink sink);
@@ -33,8 +33,8 @@
   Directory& operator=(const Directory&) = delete;
 
   // The registry's list as it was last known; its word, but no news.
-  void Remember(const Listing& known);
-  void HeardRegistry(const Listing& listing);
+  void Remember(const EndpointList& known);
+  void HeardRegistry(const EndpointList& listing);
   void Stop();
 
   struct ZoneView {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-#include "src/exchange/listing.hpp"
+#include "src/dispatch/endpoint_list.hpp"
 #include "src/limits/list_pace.hpp"
 #include "src/net/alarm.hpp"
 
@@ -55,7 +55,7 @@
 
 class DiscoveryWatch {
  public:
-  using Sink = std::function<void(const Listing&)>;
+  using Sink = std::function<void(const EndpointList&)>;
 
   // Without an address there is none to watch.
   DiscoveryWatch(asio::io_context& io, Sink sink, const std::string& address, std::uint64_t version,
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -87,10 +87,10 @@
   bool started = false, reading = false, writing = false, skipping = false;
   bool ending = false;  // nothing more is read as messages: the last words are on their way
   bool finished = false, closed = false;
-  bool queued = false;                 // the rest of its messages waits for the next turn
-  RequestId request = 0;               // the one that is being answered; 0: none
-  std::string open_id;                 // what the client calls it
-  std::shared_ptr<Transfer> transfer;  // the value that is being passed on to it
+  bool queued = false;                       // the rest of its messages waits for the next turn
+  RequestId request = 0;                     // the one that is being answered; 0: none
+  std::string open_id;                       // what the client calls it
+  std::shared_ptr<ResponseStream> transfer;  // the value that is being passed on to it
   int answered = 0;
   int refusals = 0;       // statements in a row that could not be used
   bool no_place = false;  // it is turned away, once it has said for what
@@ -107,11 +107,11 @@
   std::size_t unsent() const { return out.size() + on_the_way.size(); }
 };
 
-ClientFront::ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const Service& service,
-                         const FrontOptions& options)
+ClientFront::ClientFront(asio::io_context& io, LoopClock& clock, Dispatcher& dispatcher,
+                         const Service& service, const FrontOptions& options)
     : io_(io),
       clock_(clock),
-      exchange_(exchange),
+      dispatcher_(dispatcher),
       service_(service),
       options_(options),
       acceptor_(io),
@@ -139,7 +139,7 @@
     throw std::runtime_error("cannot listen on port " + std::to_string(options.listen.port()) + " of " +
                              options.listen.address().to_string() + ": " + error.code().message());
   }
-  const Settings& settings = exchange.settings();
+  const Settings& settings = dispatcher.settings();
   for (const ClassSettings& c : settings.classes)
     classes_.try_emplace(c.name, static_cast<int>(classes_.size()));
   for (const TenantSettings& t : settings.tenants)
@@ -397,31 +397,31 @@
   const int class_index = found == classes_.end() ? -1 : found->second;
   if (reason) {
     ++counters_.malformed;
-    if (class_index >= 0) exchange_.CountTurnedAway(class_index, Failed{});
+    if (class_index >= 0) dispatcher_.CountLocalResponse(class_index, FailedResponse{});
     if (++client->refusals >= kMostRefusals) return EndWith(client, "08P01", reason);
     pg::AppendError(client->out, "ERROR", "42601", reason);
     return pg::AppendReady(client->out);
   }
   client->refusals = 0;
   if (client->no_place) {
-    exchange_.CountTurnedAway(class_index, Refused{});
-    return EndWith(client, "53300", kTooMany, ReturnIn(kNoLimit));
+    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
+    return EndWith(client, "53300", kTooMany, ReturnIn(kNoDeadline));
   }
   if (service_.Refuses(clock_.Now())) {
-    exchange_.CountTurnedAway(class_index, Refused{});
+    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
     return EndWith(client, "57P03", "out of service: trying again is harmless", ReturnIn(kElsewhereRetry));
   }
   // Where all that clients may hold is busy, nobody can even ask, in this process or the one that takes over.
   const bool crowded = asking_.size() >= options_.limits.most_open;
   if (crowded || (!client->room && carried_ + text.size() > options_.limits.most_buffered)) {
     ++counters_.turned_away;
-    exchange_.CountTurnedAway(class_index, Refused{});
-    pg::AppendError(client->out, "ERROR", "53300", "too much is under way", ReturnIn(kNoLimit));
+    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
+    pg::AppendError(client->out, "ERROR", "53300", "too much is under way", ReturnIn(kNoDeadline));
     return pg::AppendReady(client->out);
   }
   // It may have come long ago, behind an answer or for want of room, and its client has gone since.
   if (HasLeft(*client)) return Close(client);
-  const Freshness freshness = exchange_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
+  const Freshness freshness = dispatcher_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
   client->open_id = statement->id;
   open_ids_.insert(client->open_id);
   const auto tenant = tenants_.find(std::string(statement->tenant));
@@ -435,10 +435,10 @@
   request.repeat = statement->repeat;
   if (!client->room) carried_ += client->carried = text.size();
   // From here on the statement's text is the payload's.
-  request.payload = std::make_shared<const Payload>(Payload{client->reader.TakeBody(text), statement->wait_at,
-                                                            statement->wait_size, std::move(client->room)});
+  request.payload = std::make_shared<const RequestPayload>(RequestPayload{
+      client->reader.TakeBody(text), statement->wait_at, statement->wait_size, std::move(client->room)});
   options_.before_request();
-  client->request = exchange_.Submit(clock_.Now(), request);
+  client->request = dispatcher_.Submit(clock_.Now(), request);
   asking_[client->request] = client;
 }
 
@@ -449,7 +449,7 @@
 
 // When a refused client may come back, where the settings let it be told: no later than it heeds.
 std::string ClientFront::ReturnIn(Micros time) const {
-  const Settings& settings = exchange_.settings();
+  const Settings& settings = dispatcher_.settings();
   const Micros told = std::min(settings.max_retry_after, time);
   return settings.retry_after && told > 0 ? std::to_string(told / 1000) : "";
 }
@@ -460,7 +460,7 @@
   if (!statement)
     return "the statement has no form that is served here, or lacks the comment that says what it is";
   if (found == classes_.end()) return "no class of requests has this name";
-  const ClassSettings& c = exchange_.settings().classes[static_cast<std::size_t>(found->second)];
+  const ClassSettings& c = dispatcher_.settings().classes[static_cast<std::size_t>(found->second)];
   if (statement->writes != (c.freshness == Freshness::kWrite)) return "the class does not fit the statement";
   if (c.effect == Effect::kKeyed && statement->repeat_key.empty()) return "the class wants a key for repeats";
   // The request that has this id is another's: it goes on untouched.
@@ -468,17 +468,17 @@
   return nullptr;
 }
 
-void ClientFront::Deliver(RequestId id, const Answer& answer) {
+void ClientFront::Deliver(RequestId id, const Response& answer) {
   const auto it = asking_.find(id);
   if (it == asking_.end()) return;
   const ClientPtr client = it->second;
-  if (const auto* begun = std::get_if<Begun>(&answer)) {
-    client->transfer = begun->transfer;
+  if (const auto* begun = std::get_if<StreamingResponse>(&answer)) {
+    client->transfer = begun->stream;
     client->last_active = clock_.Now();
     carried_ -= std::exchange(client->carried, 0);
-    pg::AppendMessage(client->out, 'T', begun->transfer->shape());
-    pg::AppendRowHead(client->out, begun->transfer->size());
-    begun->transfer->on_change = [this, weak = std::weak_ptr(client)] {
+    pg::AppendMessage(client->out, 'T', begun->stream->row_description());
+    pg::AppendRowHead(client->out, begun->stream->size());
+    begun->stream->on_update = [this, weak = std::weak_ptr(client)] {
       if (const ClientPtr waiting = weak.lock()) PassOn(waiting);
     };
     return PassOn(client);
@@ -487,11 +487,11 @@
   ++client->answered;
   EndRequest(client);
   client->last_active = clock_.Now();
-  if (const auto* served = std::get_if<Served>(&answer)) {
-    pg::AppendMessage(client->out, 'T', served->value.shape);
-    pg::AppendDataRow(client->out, served->value.value);
-    pg::AppendMessage(client->out, 'C', served->value.tag);
-  } else if (const auto* refused = std::get_if<Refused>(&answer)) {
+  if (const auto* served = std::get_if<ServedResponse>(&answer)) {
+    pg::AppendMessage(client->out, 'T', served->result.row_description);
+    pg::AppendDataRow(client->out, served->result.value);
+    pg::AppendMessage(client->out, 'C', served->result.command_tag);
+  } else if (const auto* refused = std::get_if<RejectedResponse>(&answer)) {
     const std::string when =
         refused->retry_after > 0 ? std::to_string((refused->retry_after + 999) / 1000) : "";
     pg::AppendError(client->out, "ERROR", "53300", "refused: trying again is harmless", when);
@@ -503,27 +503,27 @@
 }
 
 void ClientFront::PassOn(const ClientPtr& client) {
-  const std::shared_ptr<Transfer> transfer = client->transfer;
+  const std::shared_ptr<ResponseStream> transfer = client->transfer;
   while (transfer && !client->writing && !client->closed) {
     if (!client->out.empty()) {
       Write(client);
     } else if (!transfer->empty()) {
-      client->out = transfer->Take();
+      client->out = transfer->Read();
     } else {
       break;
     }
   }
-  if (client->closed || client->writing || transfer->state() == Transfer::State::kRunning) return;
+  if (client->closed || client->writing || transfer->state() == ResponseStream::State::kOpen) return;
   const RequestId request = client->request;
   client->transfer.reset();
   asking_.erase(request);
   EndRequest(client);
   ++client->answered;
-  const bool whole = transfer->state() == Transfer::State::kWhole;
-  exchange_.Delivered(request);
+  const bool whole = transfer->state() == ResponseStream::State::kComplete;
+  dispatcher_.StreamDelivered(request);
   // A part of the value is out: only the close can say that the rest will not come.
   if (!whole) return Close(client);
-  pg::AppendMessage(client->out, 'C', transfer->tag());
+  pg::AppendMessage(client->out, 'C', transfer->command_tag());
   pg::AppendReady(client->out);
   Process(client);
 }
@@ -600,7 +600,7 @@
   if (const RequestId request = client->request; request != 0) {
     asking_.erase(request);
     EndRequest(client);
-    exchange_.ClientLeft(clock_.Now(), request);
+    dispatcher_.ClientDisconnected(clock_.Now(), request);
   }
   clients_.erase(ClientPtr(client));
 }
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -13,7 +13,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "src/exchange/exchange.hpp"
+#include "src/dispatch/dispatcher.hpp"
 #include "src/net/alarm.hpp"
 #include "src/net/clock.hpp"
 #include "src/net/service.hpp"
@@ -48,11 +48,11 @@
 class ClientFront {
  public:
   // Throws std::runtime_error where the address cannot be listened on.
-  ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const Service& service,
+  ClientFront(asio::io_context& io, LoopClock& clock, Dispatcher& dispatcher, const Service& service,
               const FrontOptions& options);
   ~ClientFront();
 
-  void Deliver(RequestId id, const Answer& answer);
+  void Deliver(RequestId id, const Response& answer);
   void StartAccepting();
   // What has connected and was not taken in is left to whoever shares the listening socket.
   void PauseAccepting();
@@ -109,7 +109,7 @@
 
   asio::io_context& io_;
   LoopClock& clock_;
-  Exchange& exchange_;
+  Dispatcher& dispatcher_;
   const Service& service_;
   FrontOptions options_;
   FrontCounters counters_;
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -56,13 +56,13 @@
     line = kSteps[static_cast<std::size_t>(*step)];
   } else if (const auto* holds = std::get_if<HandoverHolds>(&message)) {
     line = std::string(kHolds) + " " + std::to_string(holds->descriptors);
-  } else if (const auto* session = std::get_if<SessionNews>(&message)) {
+  } else if (const auto* session = std::get_if<SessionUpdate>(&message)) {
     line = std::string(kSession) + " " + std::to_string(session->key) + " " + std::to_string(session->group) +
            " " + std::to_string(session->commit_unix_ms);
   } else {
-    const auto& server = std::get<ServerNews>(message);
+    const auto& server = std::get<ServerUpdate>(message);
     line = std::string(kServer) + " " + std::to_string(static_cast<int>(server.role)) + " " +
-           std::to_string(server.heard) + " " + std::to_string(server.position_unix_ms) + " " + server.id;
+           std::to_string(server.role_time) + " " + std::to_string(server.position_unix_ms) + " " + server.id;
   }
   return line + "\n";
 }
@@ -76,16 +76,17 @@
     HandoverHolds holds;
     if (TakeNumber(line, holds.descriptors) && line.empty() && holds.descriptors >= 0) return holds;
   } else if (kind == kSession) {
-    SessionNews news;
+    SessionUpdate news;
     if (TakeNumber(line, news.key) && TakeNumber(line, news.group) && TakeNumber(line, news.commit_unix_ms) &&
         line.empty()) {
       return news;
     }
   } else if (kind == kServer) {
-    ServerNews news;
+    ServerUpdate news;
     int role = 0;
-    if (TakeNumber(line, role) && TakeNumber(line, news.heard) && TakeNumber(line, news.position_unix_ms) &&
-        !line.empty() && role >= 0 && role <= static_cast<int>(Role::kReplica)) {
+    if (TakeNumber(line, role) && TakeNumber(line, news.role_time) &&
+        TakeNumber(line, news.position_unix_ms) && !line.empty() && role >= 0 &&
+        role <= static_cast<int>(Role::kReplica)) {
       news.role = static_cast<Role>(role);
       news.id = line;
       return news;
@@ -203,8 +204,8 @@
     return events_.stepped(link->partner, *step);
   }
   if (const auto* holds = std::get_if<HandoverHolds>(&*message)) return events_.holds(*holds);
-  if (const auto* session = std::get_if<SessionNews>(&*message)) events_.session(*session);
-  if (const auto* server = std::get_if<ServerNews>(&*message)) events_.server(*server);
+  if (const auto* session = std::get_if<SessionUpdate>(&*message)) events_.session(*session);
+  if (const auto* server = std::get_if<ServerUpdate>(&*message)) events_.server(*server);
   // An upgrade of an upgrade: what the one tells, the other must know.
   const Partner other = link->partner == Partner::kOlder ? Partner::kNewer : Partner::kOlder;
   Send(other, ToLine(*message));
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <variant>
 
-#include "src/exchange/exchange.hpp"
+#include "src/dispatch/dispatcher.hpp"
 
 namespace tulipyoke::net {
 
@@ -23,7 +23,7 @@
 struct HandoverHolds {
   int descriptors = 0;
 };
-using HandoverMessage = std::variant<HandoverStep, HandoverHolds, SessionNews, ServerNews>;
+using HandoverMessage = std::variant<HandoverStep, HandoverHolds, SessionUpdate, ServerUpdate>;
 
 std::string ToLine(const HandoverMessage& message);
 // None where it is no line of this protocol.
@@ -35,8 +35,8 @@
   struct Events {
     std::function<void(Partner, HandoverStep)> stepped;
     std::function<void(const HandoverHolds&)> holds;
-    std::function<void(const SessionNews&)> session;
-    std::function<void(const ServerNews&)> server;
+    std::function<void(const SessionUpdate&)> session;
+    std::function<void(const ServerUpdate&)> server;
     // `done`: the partner had said that it ends.
     std::function<void(Partner, bool done)> parted;
   };
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -91,9 +91,9 @@
   return config.directory.on() && config.directory.registry() < 0 ? "" : config.discovery;
 }
 
-ExchangeOptions OptionsOf(const Config& config, Micros now) {
-  ExchangeOptions options{config.settings,        config.seed, config.zones, config.kinds,
-                          config.connect_timeout, config.trace};
+DispatcherOptions OptionsOf(const Config& config, Micros now) {
+  DispatcherOptions options{config.settings,        config.seed, config.zones, config.kinds,
+                            config.connect_timeout, config.trace};
   options.settings.reports_are_floats = false;
   const Micros origin = options.settings.origin;
   if (origin > now || origin < now - kOldestOrigin) options.settings.origin = now - kOriginBeforeStart;
@@ -114,12 +114,12 @@
 Node::Node(const Config& config)
     : config_(config),
       signals_(io_, SIGHUP, SIGTERM, SIGINT),
-      exchange_(OptionsOf(config, clock_.Now())),
-      pool_(io_, clock_, exchange_, PoolOptionsOf(config)),
-      front_(io_, clock_, exchange_, service_, FrontOptionsOf(config, [this] { handover_.Poll(); })),
+      dispatcher_(OptionsOf(config, clock_.Now())),
+      pool_(io_, clock_, dispatcher_, PoolOptionsOf(config)),
+      front_(io_, clock_, dispatcher_, service_, FrontOptionsOf(config, [this] { handover_.Poll(); })),
       directory_(MakeDirectory()),
       discovery_(
-          io_, [this](const Listing& listing) { HeardRegistry(listing); }, WatchedAddress(config),
+          io_, [this](const EndpointList& listing) { HeardRegistry(listing); }, WatchedAddress(config),
           config.known.version, limits::ListPace(config.settings, config.seed)),
       handover_(io_, config.accept_fd < 0 ? "" : config.temporary, config.name, config.seed,
                 HandoverEvents()),
@@ -130,7 +130,7 @@
       shrink_timer_(io_),
       stop_plan_(PlanStop(config.settings)) {
   signals_.add(SIGUSR1);
-  exchange_.Start(clock_.Now(), config.known);
+  dispatcher_.Start(clock_.Now(), config.known);
   if (directory_ && !config.known.servers.empty()) directory_->Remember(config.known);
   if (!config.operators.empty()) {
     door_.emplace(
@@ -144,8 +144,8 @@
   }
   LogInfo("takes_over", config.name + " takes over from a running process", {{"name", config.name}});
   Take(kShareBeside);
-  exchange_.TellOthers(true);
-  exchange_.SessionsAre(clock_.Now(), {.known = false});
+  dispatcher_.EnableReplication(true);
+  dispatcher_.SetSessionsKnown(clock_.Now(), {.known = false});
   serve_timer_.In(kSyncWait, [this] {
     if (service_.state() != Service::State::kStarting) return;
     handover_.Part(Handover::Partner::kOlder);
@@ -170,16 +170,16 @@
 
 std::unique_ptr<Directory> Node::MakeDirectory() {
   if (!config_.directory.on()) return nullptr;
-  return std::make_unique<Directory>(io_, clock_, config_.directory, [this](const Listing& listing) {
-    exchange_.Heard(clock_.Now(), listing);
+  return std::make_unique<Directory>(io_, clock_, config_.directory, [this](const EndpointList& listing) {
+    dispatcher_.UpdateEndpoints(clock_.Now(), listing);
   });
 }
 
-void Node::HeardRegistry(const Listing& listing) {
+void Node::HeardRegistry(const EndpointList& listing) {
   if (directory_)
     directory_->HeardRegistry(listing);
   else
-    exchange_.Heard(clock_.Now(), listing);
+    dispatcher_.UpdateEndpoints(clock_.Now(), listing);
 }
 
 void Node::Run() {
@@ -201,28 +201,28 @@
             const double sockets = config_.sockets;
             Take(std::max(kShareBeside, (sockets - holds.descriptors) / sockets));
           },
-          [this](const SessionNews& news) { exchange_.Learn(clock_.Now(), news); },
-          [this](const ServerNews& news) { exchange_.Learn(clock_.Now(), news); },
+          [this](const SessionUpdate& news) { dispatcher_.ApplyPeerUpdate(clock_.Now(), news); },
+          [this](const ServerUpdate& news) { dispatcher_.ApplyPeerUpdate(clock_.Now(), news); },
           [this](Handover::Partner partner, bool done) { OnParted(partner, done); }};
 }
 
 void Node::OnStep(Handover::Partner partner, HandoverStep step) {
   if (partner == Handover::Partner::kOlder) {
     if (step != HandoverStep::kSynced) return;
-    exchange_.SessionsAre(clock_.Now(), {.known = true});
+    dispatcher_.SetSessionsKnown(clock_.Now(), {.known = true});
     return Serve();
   }
   if (step == HandoverStep::kHello) {
     // Room first: together both hold no more than one may.
     LogInfo("newer_process", "a newer process has come: half of the room is left to it");
     Take(kShareBeside);
-    exchange_.TellOthers(true);
-    for (const ServerNews& news : exchange_.Shown()) handover_.TellNewer(news);
-    for (const SessionNews& news : exchange_.Sessions()) handover_.TellNewer(news);
+    dispatcher_.EnableReplication(true);
+    for (const ServerUpdate& news : dispatcher_.ServerSnapshot()) handover_.TellNewer(news);
+    for (const SessionUpdate& news : dispatcher_.SessionSnapshot()) handover_.TellNewer(news);
     handover_.Step(partner, HandoverStep::kSynced);
   } else if (step == HandoverStep::kServing) {
-    LogInfo("handed_over", "the newer process takes the clients: " + std::to_string(exchange_.live()) +
-                               " requests are still out");
+    LogInfo("handed_over", "the newer process takes the clients: " +
+                               std::to_string(dispatcher_.in_progress()) + " requests are still out");
     front_.PauseAccepting();
     service_.HandOver(clock_.Now());
     told_holds_ = config_.sockets;
@@ -232,7 +232,7 @@
 
 void Node::Shrink() {
   if (service_.state() != Service::State::kHandedOver) return;
-  pool_.Resize(exchange_.live() + kServersSpare);
+  pool_.Resize(dispatcher_.in_progress() + kServersSpare);
   const auto held = static_cast<int>(front_.clients() + pool_.connections()) + kOwnDescriptors;
   if (held < told_holds_) handover_.TellNewer(HandoverHolds{told_holds_ = held});
   shrink_timer_.In(kShrinkEvery, [this] { Shrink(); });
@@ -245,12 +245,12 @@
                               " process " + (done ? "has ended" : "broke off"));
   if (handover_.alone()) {
     Take(1);
-    exchange_.TellOthers(false);
+    dispatcher_.EnableReplication(false);
   }
   if (!done) {
-    exchange_.SessionsAre(clock_.Now(), {.known = false});
+    dispatcher_.SetSessionsKnown(clock_.Now(), {.known = false});
     sessions_timer_.In(std::chrono::microseconds(LongestDeadline(config_.settings)),
-                       [this] { exchange_.SessionsAre(clock_.Now(), {.known = true, .lost = true}); });
+                       [this] { dispatcher_.SetSessionsKnown(clock_.Now(), {.known = true, .lost = true}); });
   }
   if (partner == Handover::Partner::kOlder) return Serve();
   if (service_.state() != Service::State::kHandedOver) return;
@@ -266,16 +266,16 @@
 
 // Behind each handler: what one of them ended, the next one of the same turn must not begin.
 void Node::CarryOut() {
-  for (std::vector<Command> commands = exchange_.TakeCommands(); !commands.empty();
-       commands = exchange_.TakeCommands()) {
+  for (std::vector<Command> commands = dispatcher_.TakeCommands(); !commands.empty();
+       commands = dispatcher_.TakeCommands()) {
     for (const Command& command : commands) Carry(command);
   }
 }
 
 void Node::EndTurn() {
-  exchange_.Tick(clock_.Now());
+  dispatcher_.Tick(clock_.Now());
   CarryOut();
-  const std::optional<Micros> due = exchange_.NextDue();
+  const std::optional<Micros> due = dispatcher_.NextTimer();
   if (due && due != armed_for_) {
     armed_for_ = due;
     due_timer_.expires_at(clock_.ToSteady(*due));
@@ -290,7 +290,7 @@
     listening_ = false;
     // What waits in a shared listening socket is the other process's.
     if (service_.state() != Service::State::kHandedOver) front_.StopAccepting();
-    LogInfo("draining", "draining: " + std::to_string(exchange_.live()) + " requests are still out");
+    LogInfo("draining", "draining: " + std::to_string(dispatcher_.in_progress()) + " requests are still out");
   }
   if (since >= stop_plan_.answer_by) front_.Dismiss();
   // Others may be stopped in turn, and this one's successor begins when it has ended: it stays for nobody who
@@ -308,19 +308,19 @@
 void Node::Carry(const Command& command) {
   if (const auto* attempt = std::get_if<StartAttempt>(&command)) return pool_.Start(*attempt);
   if (const auto* probe = std::get_if<StartProbe>(&command)) return pool_.Start(*probe);
-  if (const auto* end = std::get_if<EndTicket>(&command)) return pool_.End(end->ticket);
+  if (const auto* end = std::get_if<CancelOperation>(&command)) return pool_.End(end->operation_id);
   if (const auto* address = std::get_if<SetAddress>(&command)) {
     return pool_.SetAddress(address->server, address->address);
   }
-  if (const auto* forget = std::get_if<ForgetServer>(&command)) return pool_.Forget(forget->server);
+  if (const auto* forget = std::get_if<RemoveServer>(&command)) return pool_.Forget(forget->server);
   if (const auto* idle = std::get_if<CloseIdleConnections>(&command)) return pool_.CloseIdle(idle->server);
-  if (const auto* answer = std::get_if<AnswerRequest>(&command))
-    return front_.Deliver(answer->id, answer->answer);
-  if (const auto* tell = std::get_if<TellPartners>(&command)) {
-    return std::visit([this](const auto& news) { handover_.Tell(news); }, tell->news);
+  if (const auto* answer = std::get_if<SendResponse>(&command))
+    return front_.Deliver(answer->id, answer->response);
+  if (const auto* tell = std::get_if<ReplicateToPeer>(&command)) {
+    return std::visit([this](const auto& news) { handover_.Tell(news); }, tell->update);
   }
-  if (const auto* step = std::get_if<WriteTrace>(&command))
-    return LogInfo("trace", "trace: at=" + std::to_string(step->when) + " " + step->text);
+  if (const auto* step = std::get_if<TraceStep>(&command))
+    return LogInfo("trace", "trace: at=" + std::to_string(step->when) + " " + ToText(step->event));
   if (const auto* log = std::get_if<WriteLog>(&command))
     return LogInfo("decision", "decisions: " + log->text);
   discovery_.Refresh();
@@ -348,7 +348,7 @@
 void Node::Stop() {
   stop_asked_ = clock_.Now();
   service_.Stop(*stop_asked_);
-  exchange_.EndBy(*stop_asked_ + stop_plan_.answer_by);
+  dispatcher_.SetDrainDeadline(*stop_asked_ + stop_plan_.answer_by);
   LogInfo("told_to_stop", "told to stop");
 }
 
@@ -373,7 +373,7 @@
   if (method != wanted) return {405, "this call is a " + wanted + "\n", wanted};
   const Micros now = clock_.Now();
   if (path == "/control/servers") return {200, ToText(*directory_, now)};
-  if (path == "/control/counters") return {200, ToText(exchange_.FiguresAt(now), '\n')};
+  if (path == "/control/counters") return {200, ToText(dispatcher_.StatisticsAt(now), '\n')};
   if (path == "/control/ready") return service_.ready() ? Reply{200, "yes\n"} : Reply{503, "no\n"};
   if (path == "/control/in-service") {
     if (!service_.PutBack()) return {409, "stopping\n"};
@@ -382,7 +382,7 @@
   }
   service_.TakeOut(now);
   LogInfo("taken_out",
-          "taken out of service: " + std::to_string(exchange_.live()) + " requests are still out");
+          "taken out of service: " + std::to_string(dispatcher_.in_progress()) + " requests are still out");
   return {200, "out of service\n"};
 }
 
@@ -393,8 +393,8 @@
   const FrontCounters& f = front_.counters();
   const PoolCounters& p = pool_.counters();
   const DiscoveryCounters& d = discovery_.counters();
-  LogInfo("figures", "figures: " + ToText(exchange_.FiguresAt(clock_.Now()), ' '));
-  LogInfo("requests", "requests: " + ToText(exchange_.counters()));
+  LogInfo("figures", "figures: " + ToText(dispatcher_.StatisticsAt(clock_.Now()), ' '));
+  LogInfo("requests", "requests: " + ToText(dispatcher_.counters()));
   LogInfo("clients", "clients:" + text("open", front_.clients()) + text("accepted", f.accepted) +
                          text("turned_away", f.turned_away) + text("shed", f.shed) + text("idle", f.idle) +
                          text("silent", f.silent) + text("malformed", f.malformed) +
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "src/config/config.hpp"
-#include "src/exchange/exchange.hpp"
+#include "src/dispatch/dispatcher.hpp"
 #include "src/net/alarm.hpp"
 #include "src/net/clock.hpp"
 #include "src/net/directory.hpp"
@@ -44,7 +44,7 @@
   void EndTurn();
   void Carry(const Command& command);
   std::unique_ptr<Directory> MakeDirectory();
-  void HeardRegistry(const Listing& listing);
+  void HeardRegistry(const EndpointList& listing);
   void AwaitSignal();
   void Reload();
   void Stop();
@@ -66,7 +66,7 @@
   // Before all that takes time: a signal that comes while the rest is being set up is handled afterwards.
   asio::signal_set signals_;
   LoopClock clock_;
-  Exchange exchange_;
+  Dispatcher dispatcher_;
   Service service_;
   ServerPool pool_;
   ClientFront front_;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -52,39 +52,40 @@
   Micros idle_since = 0;
   pg::MessageReader reader;
   pg::AnswerReader answer;
-  Ticket ticket = 0;
+  OperationId operation_id = 0;
   // A value that is passed on as it comes: how much of it is still to come, and whether its client has to
   // catch up first.
-  std::shared_ptr<Transfer> transfer;
+  std::shared_ptr<ResponseStream> transfer;
   std::size_t value_left = 0;
   bool paused = false;
   Micros last_bytes = 0;
-  Micros start_by = kNoLimit;  // of the statement that is being written
+  Micros start_by = kNoDeadline;  // of the statement that is being written
   std::string out, wait;
-  std::shared_ptr<const Payload> payload;      // while it is being written
-  std::array<asio::const_buffer, 5> unsent{};  // what the socket has not taken yet
+  std::shared_ptr<const RequestPayload> payload;  // while it is being written
+  std::array<asio::const_buffer, 5> unsent{};     // what the socket has not taken yet
   std::array<char, kReadSize> in{};
 
   bool written() const { return asio::buffer_size(unsent) == 0; }
 };
 
-ServerPool::ServerPool(asio::io_context& io, LoopClock& clock, Exchange& exchange, const PoolOptions& options)
-    : io_(io), clock_(clock), exchange_(exchange), options_(options), sweep_(io) {
+ServerPool::ServerPool(asio::io_context& io, LoopClock& clock, Dispatcher& dispatcher,
+                       const PoolOptions& options)
+    : io_(io), clock_(clock), dispatcher_(dispatcher), options_(options), sweep_(io) {
   ArmSweep();
 }
 
 ServerPool::~ServerPool() = default;
 
 void ServerPool::Start(const StartAttempt& attempt) {
-  Place(attempt.server, {attempt.ticket, attempt.payload, attempt.give_up, attempt.start_by});
+  Place(attempt.server, {attempt.operation_id, attempt.payload, attempt.deadline, attempt.latest_start});
 }
 
-void ServerPool::Start(const StartProbe& probe) { Place(probe.server, {probe.ticket}); }
+void ServerPool::Start(const StartProbe& probe) { Place(probe.server, {probe.operation_id}); }
 
 void ServerPool::Place(ServerId server, Job job) {
   Site& site = sites_[server];
   if (!site.endpoint) {
-    exchange_.Finished(clock_.Now(), job.ticket, Outcome{.status = Status::kConnectFailed});
+    dispatcher_.OperationFinished(clock_.Now(), job.operation_id, Outcome{.status = Status::kConnectFailed});
     return;
   }
   while (!site.idle.empty()) {
@@ -99,7 +100,7 @@
     Run(link, std::move(job));
     return;
   }
-  waiting_[job.ticket] = server;
+  waiting_[job.operation_id] = server;
   site.waiting.push_back(std::move(job));
   OpenAsNeeded(server);
 }
@@ -110,10 +111,10 @@
   while (site.opening.size() + site.resting < site.waiting.size()) {
     if (connections_ >= options_.most_connections && !ShedIdle()) {
       ++counters_.no_room;
-      const Ticket ticket = site.waiting.back().ticket;
+      const OperationId operation_id = site.waiting.back().operation_id;
       site.waiting.pop_back();
-      waiting_.erase(ticket);
-      exchange_.Finished(clock_.Now(), ticket, Outcome{.status = Status::kConnectFailed});
+      waiting_.erase(operation_id);
+      dispatcher_.OperationFinished(clock_.Now(), operation_id, Outcome{.status = Status::kConnectFailed});
       continue;
     }
     Open(server);
@@ -191,10 +192,10 @@
 
 void ServerPool::OnLargeRow(const Link& link, std::size_t size) {
   link->answer.BeginRow();
-  link->transfer = exchange_.Begin(clock_.Now(), link->ticket, link->answer.shape(), size);
+  link->transfer = dispatcher_.BeginStream(clock_.Now(), link->operation_id, link->answer.shape(), size);
   if (!link->transfer) return Close(link);  // nobody waits for it any more
   link->value_left = size;
-  link->transfer->on_room = [this, weak = std::weak_ptr(link)] {
+  link->transfer->on_writable = [this, weak = std::weak_ptr(link)] {
     const Link waiting = weak.lock();
     if (!waiting || waiting->state == Connection::State::kClosed || !waiting->paused) return;
     waiting->paused = false;
@@ -206,16 +207,16 @@
 void ServerPool::PassOn(const Link& link) {
   const std::string_view bytes = link->reader.TakeValue(link->value_left);
   link->value_left -= bytes.size();
-  const std::shared_ptr<Transfer> transfer = link->transfer;
-  if (!bytes.empty()) link->paused = !transfer->Give(bytes);
+  const std::shared_ptr<ResponseStream> transfer = link->transfer;
+  if (!bytes.empty()) link->paused = !transfer->Write(bytes);
 }
 
 void ServerPool::OnAnswered(const Link& link) {
-  const Ticket ticket = link->ticket;
+  const OperationId operation_id = link->operation_id;
   link->transfer.reset();
   link->paused = false;  // the rest is the client's side's
   Outcome outcome = *link->answer.Settled();
-  busy_.erase(ticket);
+  busy_.erase(operation_id);
   link->state = Connection::State::kResting;
   ++sites_[link->server].resting;
   // Answered before all of it was sent: the next query's bytes would come behind the rest of this one's.
@@ -226,16 +227,16 @@
       if (const Link rested = weak.lock()) OnReady(rested);
     });
   }
-  exchange_.Finished(clock_.Now(), ticket, std::move(outcome));
+  dispatcher_.OperationFinished(clock_.Now(), operation_id, std::move(outcome));
 }
 
 // A spoilt answer may have run, as an error may. The server is no worse for it than for any other failure.
 void ServerPool::OnGarbage(const Link& link) {
   ++counters_.garbage;
   if (link->state != Connection::State::kBusy) return OnBroken(link);
-  const Ticket ticket = link->ticket;
+  const OperationId operation_id = link->operation_id;
   Close(link);
-  exchange_.Finished(clock_.Now(), ticket, Outcome{.status = Status::kError});
+  dispatcher_.OperationFinished(clock_.Now(), operation_id, Outcome{.status = Status::kError});
 }
 
 void ServerPool::Retire(const Link& link) {
@@ -277,7 +278,7 @@
   if (!site.waiting.empty()) {
     Job job = std::move(site.waiting.front());
     site.waiting.pop_front();
-    waiting_.erase(job.ticket);
+    waiting_.erase(job.operation_id);
     return Run(link, std::move(job));
   }
   link->idle_since = clock_.Now();
@@ -296,24 +297,24 @@
 void ServerPool::Run(const Link& link, Job job) {
   // Its connection took too long: sent now, it could take effect a second time.
   if (job.start_by < clock_.Now()) {
-    exchange_.Finished(clock_.Now(), job.ticket, Outcome{.status = Status::kMoot});
+    dispatcher_.OperationFinished(clock_.Now(), job.operation_id, Outcome{.status = Status::kMoot});
     return OnReady(link);
   }
   link->state = Connection::State::kBusy;
-  link->ticket = job.ticket;
+  link->operation_id = job.operation_id;
   link->start_by = job.start_by;
   using Query = pg::AnswerReader::Query;
   link->answer = pg::AnswerReader(job.payload ? Query::kStatement : Query::kProbe);
   link->transfer.reset();
   link->value_left = 0;
-  busy_[job.ticket] = link;
+  busy_[job.operation_id] = link;
   // The client's bytes go out from where they are held, but for the wait.
-  static const Payload probe{std::string(kProbeQuery), kProbeQuery.size(), 0};
+  static const RequestPayload probe{std::string(kProbeQuery), kProbeQuery.size(), 0};
   link->payload = job.payload;
-  const Payload& payload = job.payload ? *job.payload : probe;
+  const RequestPayload& payload = job.payload ? *job.payload : probe;
   link->wait.clear();
   if (job.payload) link->wait = std::to_string(std::max<Micros>(1, (job.give_up - clock_.Now()) / 1000));
-  const std::string_view before = payload.Before(), behind = payload.Behind();
+  const std::string_view before = payload.BeforeTimeout(), behind = payload.AfterTimeout();
   link->out.clear();
   pg::AppendHead(link->out, 'Q', before.size() + link->wait.size() + behind.size() + 1);
   link->unsent = {asio::buffer(link->out), asio::buffer(before), asio::buffer(link->wait),
@@ -343,26 +344,26 @@
   }
   if (error) return OnBroken(link);
   link->payload.reset();
-  if (link->state == Connection::State::kBusy) exchange_.Written(link->ticket);
+  if (link->state == Connection::State::kBusy) dispatcher_.OperationWritten(link->operation_id);
 }
 
 // The rest of a statement has waited for its server for too long. That begins with the last byte: sent now,
 // it could take effect a second time.
 void ServerPool::TooLate(const Link& link) {
-  const Ticket ticket = link->ticket;
+  const OperationId operation_id = link->operation_id;
   Drop(link);
-  exchange_.Finished(clock_.Now(), ticket, Outcome{.status = Status::kMoot});
+  dispatcher_.OperationFinished(clock_.Now(), operation_id, Outcome{.status = Status::kMoot});
 }
 
 void ServerPool::OnBroken(const Link& link) {
   if (link->state == Connection::State::kOpening) return OpenFailed(link, Status::kConnectFailed);
   const bool busy = link->state == Connection::State::kBusy;
-  const Ticket ticket = link->ticket;
+  const OperationId operation_id = link->operation_id;
   std::optional<Outcome> outcome = busy ? link->answer.Settled() : std::nullopt;
   if (!outcome) outcome = Outcome{.status = link->written() ? Status::kReset : Status::kConnectFailed};
   if (busy) ++counters_.broken;
   Drop(link);
-  if (busy) exchange_.Finished(clock_.Now(), ticket, std::move(*outcome));
+  if (busy) dispatcher_.OperationFinished(clock_.Now(), operation_id, std::move(*outcome));
 }
 
 void ServerPool::OpenFailed(const Link& link, Status status) {
@@ -371,10 +372,10 @@
   Close(link);
   Site& site = sites_[server];
   while (site.waiting.size() > site.opening.size() + site.resting) {
-    const Ticket ticket = site.waiting.front().ticket;
+    const OperationId operation_id = site.waiting.front().operation_id;
     site.waiting.pop_front();
-    waiting_.erase(ticket);
-    exchange_.Finished(clock_.Now(), ticket, Outcome{.status = status});
+    waiting_.erase(operation_id);
+    dispatcher_.OperationFinished(clock_.Now(), operation_id, Outcome{.status = status});
   }
 }
 
@@ -384,7 +385,7 @@
   if (link->state == Connection::State::kOpening) Remove(site.opening, link);
   if (link->state == Connection::State::kResting) --site.resting;
   if (link->state == Connection::State::kIdle) Remove(site.idle, link);
-  if (link->state == Connection::State::kBusy) busy_.erase(link->ticket);
+  if (link->state == Connection::State::kBusy) busy_.erase(link->operation_id);
   link->state = Connection::State::kClosed;
   link->transfer.reset();
   link->alarm.Off();
@@ -393,16 +394,16 @@
   --connections_;
 }
 
-void ServerPool::End(Ticket ticket) {
-  if (const auto busy = busy_.find(ticket); busy != busy_.end()) {
+void ServerPool::End(OperationId operation_id) {
+  if (const auto busy = busy_.find(operation_id); busy != busy_.end()) {
     ++counters_.given_up;
     const Link link = busy->second;
     return Close(link);
   }
-  const auto found = waiting_.find(ticket);
+  const auto found = waiting_.find(operation_id);
   if (found == waiting_.end()) return;
   std::deque<Job>& waiting = sites_[found->second].waiting;
-  std::erase_if(waiting, [&](const Job& job) { return job.ticket == ticket; });
+  std::erase_if(waiting, [&](const Job& job) { return job.operation_id == operation_id; });
   waiting_.erase(found);
 }
 
@@ -431,8 +432,8 @@
 
 void ServerPool::FailWaiting(Site& site) {
   for (const Job& job : std::exchange(site.waiting, {})) {
-    waiting_.erase(job.ticket);
-    exchange_.Finished(clock_.Now(), job.ticket, Outcome{.status = Status::kConnectFailed});
+    waiting_.erase(job.operation_id);
+    dispatcher_.OperationFinished(clock_.Now(), job.operation_id, Outcome{.status = Status::kConnectFailed});
   }
 }
 
@@ -479,7 +480,7 @@
     }
   }
   std::vector<Link> stalled;
-  for (const auto& [ticket, link] : busy_) {
+  for (const auto& [operation_id, link] : busy_) {
     if (link->transfer && !link->paused && clock_.Now() - link->last_bytes > kStalled)
       stalled.push_back(link);
   }
@@ -499,7 +500,7 @@
     for (const Link& link : std::vector<Link>(site.opening)) Close(link);
   }
   std::vector<Link> busy;
-  for (const auto& [ticket, link] : busy_) busy.push_back(link);
+  for (const auto& [operation_id, link] : busy_) busy.push_back(link);
   for (const Link& link : busy) Close(link);
 }
 
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -13,7 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "src/exchange/exchange.hpp"
+#include "src/dispatch/dispatcher.hpp"
 #include "src/net/alarm.hpp"
 #include "src/net/clock.hpp"
 
@@ -32,12 +32,12 @@
 
 class ServerPool {
  public:
-  ServerPool(asio::io_context& io, LoopClock& clock, Exchange& exchange, const PoolOptions& options);
+  ServerPool(asio::io_context& io, LoopClock& clock, Dispatcher& dispatcher, const PoolOptions& options);
   ~ServerPool();
 
   void Start(const StartAttempt& attempt);
   void Start(const StartProbe& probe);
-  void End(Ticket ticket);
+  void End(OperationId operation_id);
   void SetAddress(ServerId server, const std::string& address);
   // Starts nothing more there; what is out is let finish.
   void Forget(ServerId server);
@@ -52,10 +52,10 @@
 
  private:
   struct Job {
-    Ticket ticket = 0;
-    std::shared_ptr<const Payload> payload = {};  // none: a probe
+    OperationId operation_id = 0;
+    std::shared_ptr<const RequestPayload> payload = {};  // none: a probe
     Micros give_up = 0;
-    Micros start_by = kNoLimit;
+    Micros start_by = kNoDeadline;
   };
   struct Connection;
   using Link = std::shared_ptr<Connection>;
@@ -99,13 +99,13 @@
 
   asio::io_context& io_;
   LoopClock& clock_;
-  Exchange& exchange_;
+  Dispatcher& dispatcher_;
   PoolOptions options_;
   PoolCounters counters_;
   Alarm sweep_;
   std::map<ServerId, Site> sites_;
-  std::unordered_map<Ticket, Link> busy_;
-  std::unordered_map<Ticket, ServerId> waiting_;
+  std::unordered_map<OperationId, Link> busy_;
+  std::unordered_map<OperationId, ServerId> waiting_;
   std::size_t connections_ = 0;
 };
 
--- a/src/pg/answer.cpp
+++ b/src/pg/answer.cpp
@@ -21,17 +21,17 @@
       if (described_ || ended()) throw ProtocolError("a description that does not begin an answer");
       CheckSingleColumn(message.body);
       described_ = true;
-      outcome_.served.shape = message.body;
+      outcome_.result.row_description = message.body;
       return false;
     case 'D':
       BeginRow();
-      outcome_.served.value = ParseSingleColumn(message.body);
+      outcome_.result.value = ParseSingleColumn(message.body);
       return false;
     case 'C':
       if (ended()) throw ProtocolError("a second end in one answer");
       if (message.body.find('\0') + 1 != message.body.size()) throw ProtocolError("a tag that does not end");
       complete_ = true;
-      outcome_.served.tag = message.body;
+      outcome_.result.command_tag = message.body;
       return false;
     case 'I':
       if (ended()) throw ProtocolError("a second end in one answer");
@@ -74,7 +74,7 @@
     const bool whole = error == std::errc() && end == value.data() + value.size();
     if (whole && position > 0) outcome_.position_unix_ms = position;
   } else if (name == "pressure") {
-    outcome_.report = ParseReport(std::string(value));
+    outcome_.report = ParseLoadReport(std::string(value));
   }
 }
 
@@ -82,7 +82,7 @@
   Outcome outcome = outcome_;
   if (!error_code_.empty()) {
     outcome.status = StatusOf(error_code_, query_);
-    outcome.served = {};
+    outcome.result = {};
     return outcome;
   }
   if (!complete_) return std::nullopt;
--- a/src/pg/answer.hpp
+++ b/src/pg/answer.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "src/exchange/outcome.hpp"
+#include "src/dispatch/outcome.hpp"
 #include "src/pg/wire.hpp"
 
 namespace tulipyoke::pg {
@@ -21,7 +21,7 @@
   // The row comes by itself, its value passed on: from here on the answer is only checked. Throws as Take
   // does.
   void BeginRow();
-  const std::string& shape() const { return outcome_.served.shape; }
+  const std::string& shape() const { return outcome_.result.row_description; }
   // What the messages so far amount to, when the connection goes no further; none: no answer.
   std::optional<Outcome> Settled() const;
 
--- a/standins/dns_network.hpp
+++ b/standins/dns_network.hpp
@@ -19,7 +19,7 @@
 
 class DnsNetwork {
  public:
-  using OnListing = std::function<void(Micros now, const Listing&)>;
+  using OnListing = std::function<void(Micros now, const EndpointList&)>;
 
   DnsNetwork(const dnssd::ZoneOptions& options, std::vector<DnsZone*> servers, OnListing on_listing,
              Micros delay = 500)
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -74,10 +74,10 @@
   EXPECT_EQ(SplitAddress("127.0.0.1:80").port, 80);
 }
 
-TEST(Listing, WhatIsNoListIsRefused) {
+TEST(EndpointList, WhatIsNoListIsRefused) {
   EXPECT_THROW(ParseListing("nonsense"), std::runtime_error);
   EXPECT_THROW(ParseListing(R"({"revision":"x"})"), std::runtime_error);
-  const Listing l =
+  const EndpointList l =
       ParseListing(R"({"revision":43,"complete":false,"members":[{"id":"s","phase":"terminated"}]})");
   EXPECT_FALSE(l.complete);
   EXPECT_EQ(l.servers[0].state, ServerState::kGone);
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -49,7 +49,7 @@
     rig.Know({Rig::Listed("a", server.port())});
     const RequestId id = rig.Ask("statement");
     ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-    rig.exchange.Heard(rig.clock.Now(), Listing{9, true, list});
+    rig.dispatcher.UpdateEndpoints(rig.clock.Now(), EndpointList{9, true, list});
     rig.Carry();
     server.Greet(0);  // late
     ServeOn(other, 0, "statement", id);
@@ -204,8 +204,8 @@
   Warm();
   ClientRequest request;
   request.wait = 20'000'000;
-  request.payload = std::make_shared<const Payload>(Payload{"second", 6, 0});
-  const RequestId id = rig.exchange.Submit(rig.clock.Now(), request);
+  request.payload = std::make_shared<const RequestPayload>(RequestPayload{"second", 6, 0});
+  const RequestId id = rig.dispatcher.Submit(rig.clock.Now(), request);
   rig.Leave(id);
   const RequestId third = rig.Ask("third");
   ASSERT_TRUE(rig.Until([&] { return server.Got(0, "third"); }));
@@ -279,7 +279,7 @@
   rig.Tell(anew);
   ServeOn(server, 2, "third", waits);
   EXPECT_TRUE(rig.Until([&] { return rig.answers.contains(out); }));
-  EXPECT_TRUE(std::holds_alternative<Failed>(rig.answers.at(out)));
+  EXPECT_TRUE(std::holds_alternative<FailedResponse>(rig.answers.at(out)));
   EXPECT_EQ(server.got[2].find("second"), std::string::npos);
 }
 
@@ -339,7 +339,7 @@
   const RequestId id = rig.Ask("statement", 300'000);
   ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
   ASSERT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
-  EXPECT_TRUE(std::holds_alternative<Refused>(rig.answers.at(id)));
+  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(rig.answers.at(id)));
   EXPECT_EQ(rig.outcomes(Status::kConnectFailed), 1u);
 }
 
@@ -362,9 +362,9 @@
     if (!answer_first) rig.Carry();
     rig.Settle();
     EXPECT_EQ(rig.Served(id), answer_first);
-    const ExchangeCounters& counters = rig.exchange.counters();
+    const DispatchCounters& counters = rig.dispatcher.counters();
     EXPECT_EQ(counters.served, answer_first ? 1u : 0u);
-    EXPECT_EQ(counters.refused + counters.failed, answer_first ? 0u : 1u);
+    EXPECT_EQ(counters.rejected + counters.failed, answer_first ? 0u : 1u);
     EXPECT_EQ(rig.pool.connections(), answer_first ? 1u : 0u);
   }
 }
@@ -386,7 +386,7 @@
     server.Say(0, more);
     return rig.answers.contains(id);
   }));
-  EXPECT_TRUE(std::holds_alternative<Refused>(rig.answers.at(id)));
+  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(rig.answers.at(id)));
   EXPECT_EQ(rig.pool.connections(), 0u);
 }
 
@@ -410,7 +410,7 @@
   ASSERT_TRUE(rig.Until([&] { return second.Got(0, "statement"); }));
   second.Say(0, Row("v"));
   ASSERT_TRUE(rig.Until([&] { return rig.Served(id); }));
-  EXPECT_EQ(std::get<Served>(rig.answers.at(id)).value.value, "v");
+  EXPECT_EQ(std::get<ServedResponse>(rig.answers.at(id)).result.value, "v");
   EXPECT_EQ(rig.outcomes(Status::kError), 1u);
 }
 
@@ -418,12 +418,12 @@
 TEST(CrossingAccept, APauseThatIsOverAsAcceptingIsPausedStartsNothing) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
+  Dispatcher dispatcher({Settings{}, 1, {}, {}, 1'000'000});
   const Service service;
   tcp::acceptor held(io, Loopback(0));  // as the platform does
   FrontOptions options{Loopback(0), {100, 100, 100, 1 << 20}};
   options.accept_fd = ::dup(held.native_handle());
-  ClientFront front(io, clock, exchange, service, options);
+  ClientFront front(io, clock, dispatcher, service, options);
   front.StartAccepting();
   ASSERT_EQ(::shutdown(held.native_handle(), SHUT_RDWR), 0);  // accepting fails
   while (front.counters().accept_errors == 0) io.run_one();
@@ -466,7 +466,7 @@
     servers[i].Say(0, error);
   }
   ASSERT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
-  EXPECT_TRUE(std::holds_alternative<Refused>(rig.answers.at(id)));
+  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(rig.answers.at(id)));
   rig.Settle();
   EXPECT_FALSE(servers[2].Came());
 }
@@ -476,13 +476,13 @@
 TEST(CrossingNews, WhatMakesRoomWhileARequestIsReadDoesNotCloseItsClient) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
-  exchange.Start(clock.Now(), Listing{1, true, {}});
+  Dispatcher dispatcher({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
+  dispatcher.Start(clock.Now(), EndpointList{1, true, {}});
   const Service service;
   ClientFront* told = nullptr;
   FrontOptions options{Loopback(0), {100, 100, 100, 1 << 20}};
   options.before_request = [&] { told->Resize({0, 100, 100, 1 << 20}); };
-  ClientFront front(io, clock, exchange, service, options);
+  ClientFront front(io, clock, dispatcher, service, options);
   told = &front;
   front.StartAccepting();
   tcp::socket socket(io);
@@ -491,12 +491,12 @@
   std::string hello;
   pg::AppendStartup(hello, "api", "ledger");
   client.Write(hello + Ask("1"));
-  while (exchange.counters().taken == 0) io.run_one();
+  while (dispatcher.counters().received == 0) io.run_one();
   while (io.poll_one() > 0) {
   }
   EXPECT_EQ(front.clients(), 1u);
-  for (const Command& command : exchange.TakeCommands()) {
-    if (const auto* answer = std::get_if<AnswerRequest>(&command)) front.Deliver(answer->id, answer->answer);
+  for (const Command& command : dispatcher.TakeCommands()) {
+    if (const auto* answer = std::get_if<SendResponse>(&command)) front.Deliver(answer->id, answer->response);
   }
   client.UntilReady();
   EXPECT_EQ(CodeOf(client.UntilReady()), "53300");
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -46,7 +46,7 @@
       rules.fall = 3'000'000;
       rules.drain_grace = 2'000'000;
       config.directory = DirectoryFrom({{"sources", {source}}}, "membership", config.settings);
-      config.known = Listing();
+      config.known = EndpointList();
     };
   }
   standins::PgServer& AddServer(const std::string& name) {
--- a/tests/dispatch/command_oracle_test.cpp
+++ b/tests/dispatch/command_oracle_test.cpp
@@ -14,7 +14,7 @@
 #include <variant>
 #include <vector>
 
-#include "src/exchange/exchange.hpp"
+#include "src/dispatch/dispatcher.hpp"
 #include "tests/scene.hpp"
 
 namespace tulipyoke {
@@ -95,10 +95,10 @@
   explicit SeededRun(const RecordedRun& run)
       : kind_(run.kind),
         random_(run.seed),
-        exchange_({SettingsOf(run.kind), run.seed, {"a", "b"}, {"small", "large"}, 250 * kMs, true}) {
-    Listing known{1, true, {}};
+        dispatcher_({SettingsOf(run.kind), run.seed, {"a", "b"}, {"small", "large"}, 250 * kMs, true}) {
+    EndpointList known{1, true, {}};
     for (int i = 0; i < 4; ++i) known.servers.push_back(ServerAt(i, ServerState::kReady));
-    exchange_.Start(now_, known);
+    dispatcher_.Start(now_, known);
     Collect();
   }
 
@@ -113,19 +113,19 @@
     Collect();
     RunTimersUntil(now_ + kSettleSpan);
     HashState();
-    commands_hash_.Text(ToText(exchange_.counters()));
+    commands_hash_.Text(ToText(dispatcher_.counters()));
   }
 
   std::uint64_t command_hash() const { return commands_hash_.value(); }
   std::uint64_t trace_hash() const { return trace_hash_.value(); }
-  const ExchangeCounters& counters() const { return exchange_.counters(); }
+  const DispatchCounters& counters() const { return dispatcher_.counters(); }
   std::size_t commands() const { return commands_; }
   std::size_t transfers() const { return transfers_; }
   std::size_t told() const { return told_; }
 
  private:
   struct Attempt {
-    Ticket ticket = 0;
+    OperationId operation_id = 0;
     bool probe = false;
   };
 
@@ -154,23 +154,24 @@
     } else if (choice < 80) {
       WriteAnAttempt();
     } else if (choice < 84) {
-      if (!open_.empty()) exchange_.ClientLeft(now_, OneOfTheLatest(open_));
+      if (!open_.empty()) dispatcher_.ClientDisconnected(now_, OneOfTheLatest(open_));
     } else if (choice < 88) {
       BeginATransfer();
     } else if (choice < 92) {
-      if (!begun_.empty()) exchange_.Delivered(OneOfTheLatest(begun_));
+      if (!begun_.empty()) dispatcher_.StreamDelivered(OneOfTheLatest(begun_));
     } else if (choice < 95) {
       HearAList();
     } else if (choice < 97) {
       HashState();
     } else if (choice < 98) {
-      exchange_.CountTurnedAway(static_cast<int>(random_.Below(6)),
-                                random_.OneIn(2) ? Answer(Refused{}) : Answer(Failed{}));
+      dispatcher_.CountLocalResponse(static_cast<int>(random_.Below(6)), random_.OneIn(2)
+                                                                             ? Response(RejectedResponse{})
+                                                                             : Response(FailedResponse{}));
     } else if (kind_ == RunKind::kUpgrade) {
       SpeakWithTheOtherProcess();
     }
     if (kind_ == RunKind::kPlannedEnd && step == kEventsPerRun * 3 / 4) {
-      exchange_.EndBy(now_ + 300 * kMs);
+      dispatcher_.SetDrainDeadline(now_ + 300 * kMs);
     }
   }
 
@@ -184,8 +185,9 @@
     if (random_.OneIn(5)) request.after_unix_ms = now_ / 1000 - static_cast<std::int64_t>(random_.Below(50));
     request.repeat = random_.OneIn(10);
     const std::string text = "SELECT 1 /* id=" + std::to_string(++asked_) + ", x */";
-    if (!random_.OneIn(10)) request.payload = std::make_shared<const Payload>(Payload{text, 7, 1});
-    open_.push_back(exchange_.Submit(now_, request));
+    if (!random_.OneIn(10))
+      request.payload = std::make_shared<const RequestPayload>(RequestPayload{text, 7, 1});
+    open_.push_back(dispatcher_.Submit(now_, request));
     commands_hash_.Number(open_.back());
   }
 
@@ -206,7 +208,7 @@
     if (!attempt) return;
     Outcome outcome;
     outcome.status = random_.OneIn(2) ? Status::kOk : static_cast<Status>(random_.Below(9));
-    if (outcome.status == Status::kOk) outcome.served = {"shape", "value", "tag"};
+    if (outcome.status == Status::kOk) outcome.result = {"shape", "value", "tag"};
     outcome.role = static_cast<Role>(random_.Below(3));
     if (!random_.OneIn(3)) {
       outcome.position_unix_ms = now_ / 1000 - static_cast<std::int64_t>(random_.Below(300));
@@ -216,23 +218,24 @@
                         {"x1", random_.OneIn(2) ? 1.0 : 0.0},
                         {"other", 3.0}};
     }
-    exchange_.Finished(now_, attempt->ticket, outcome);
+    dispatcher_.OperationFinished(now_, attempt->operation_id, outcome);
   }
 
   void WriteAnAttempt() {
-    if (const std::optional<Attempt> attempt = AnAttempt()) exchange_.Written(attempt->ticket);
+    if (const std::optional<Attempt> attempt = AnAttempt())
+      dispatcher_.OperationWritten(attempt->operation_id);
   }
 
   void BeginATransfer() {
     const std::optional<Attempt> attempt = AnAttempt();
     if (!attempt) return;
-    const auto transfer = exchange_.Begin(now_, attempt->ticket, "large", 40'000);
+    const auto transfer = dispatcher_.BeginStream(now_, attempt->operation_id, "large", 40'000);
     commands_hash_.Number(transfer ? 1 : 0);
     if (transfer) ++transfers_;
   }
 
   void HearAList() {
-    Listing listing{++version_, random_.OneIn(3), {}};
+    EndpointList listing{++version_, random_.OneIn(3), {}};
     for (int i = 0; i < 6; ++i) {
       if (!listing.complete && !random_.OneIn(3)) continue;
       if (listing.complete && random_.OneIn(5)) continue;
@@ -240,88 +243,88 @@
       listing.servers.push_back(
           ServerAt(i, ready ? ServerState::kReady : static_cast<ServerState>(random_.Below(3))));
     }
-    exchange_.Heard(now_, listing);
+    dispatcher_.UpdateEndpoints(now_, listing);
   }
 
   void SpeakWithTheOtherProcess() {
     switch (random_.Below(5)) {
       case 0:
-        return exchange_.TellOthers(!random_.OneIn(4));
+        return dispatcher_.EnableReplication(!random_.OneIn(4));
       case 1:
-        return exchange_.SessionsAre(now_, {.known = random_.OneIn(2), .lost = random_.OneIn(4)});
+        return dispatcher_.SetSessionsKnown(now_, {.known = random_.OneIn(2), .lost = random_.OneIn(4)});
       case 2: {
-        SessionNews news;
+        SessionUpdate news;
         news.key = random_.Below(20);
         news.group = static_cast<int>(random_.Below(2));
         news.commit_unix_ms = now_ / 1000 - static_cast<std::int64_t>(random_.Below(100));
-        return exchange_.Learn(now_, news);
+        return dispatcher_.ApplyPeerUpdate(now_, news);
       }
       default: {
-        ServerNews news;
+        ServerUpdate news;
         news.id = std::string(1, static_cast<char>('p' + random_.Below(7)));
         news.role = static_cast<Role>(random_.Below(3));
-        news.heard = now_ - static_cast<Micros>(random_.Below(50)) * kMs;
+        news.role_time = now_ - static_cast<Micros>(random_.Below(50)) * kMs;
         news.position_unix_ms =
             random_.OneIn(3) ? 0 : now_ / 1000 - static_cast<std::int64_t>(random_.Below(100));
-        return exchange_.Learn(now_, news);
+        return dispatcher_.ApplyPeerUpdate(now_, news);
       }
     }
   }
 
   void RunTimersUntil(Micros end) {
-    for (auto due = exchange_.NextDue(); due && *due <= end; due = exchange_.NextDue()) {
+    for (auto due = dispatcher_.NextTimer(); due && *due <= end; due = dispatcher_.NextTimer()) {
       now_ = std::max(now_, *due);
-      exchange_.Tick(now_);
+      dispatcher_.Tick(now_);
       Collect();
     }
     now_ = std::max(now_, end);
   }
 
   void Collect() {
-    for (const Command& command : exchange_.TakeCommands()) {
+    for (const Command& command : dispatcher_.TakeCommands()) {
       ++commands_;
       std::visit([this](const auto& what) { Hash(what); }, command);
     }
-    commands_hash_.Signed(exchange_.NextDue().value_or(0));
-    commands_hash_.Number(exchange_.live());
+    commands_hash_.Signed(dispatcher_.NextTimer().value_or(0));
+    commands_hash_.Number(dispatcher_.in_progress());
   }
 
   void HashState() {
-    commands_hash_.Text(ToText(exchange_.FiguresAt(now_), ' '));
+    commands_hash_.Text(ToText(dispatcher_.StatisticsAt(now_), ' '));
     // The module gives its sessions in no order that is promised.
-    std::vector<SessionNews> sessions = exchange_.Sessions();
-    std::sort(sessions.begin(), sessions.end(), [](const SessionNews& a, const SessionNews& b) {
+    std::vector<SessionUpdate> sessions = dispatcher_.SessionSnapshot();
+    std::sort(sessions.begin(), sessions.end(), [](const SessionUpdate& a, const SessionUpdate& b) {
       return a.key != b.key ? a.key < b.key : a.group < b.group;
     });
-    for (const SessionNews& session : sessions) HashNews(session);
-    for (const ServerNews& server : exchange_.Shown()) HashNews(server);
+    for (const SessionUpdate& session : sessions) HashNews(session);
+    for (const ServerUpdate& server : dispatcher_.ServerSnapshot()) HashNews(server);
   }
 
   void Hash(const StartAttempt& start) {
-    attempts_.push_back({start.ticket, false});
+    attempts_.push_back({start.operation_id, false});
     commands_hash_.Number(1);
-    commands_hash_.Number(start.ticket);
+    commands_hash_.Number(start.operation_id);
     commands_hash_.Number(start.server);
     commands_hash_.Text(start.payload ? start.payload->bytes : "none");
-    commands_hash_.Signed(start.give_up);
-    commands_hash_.Signed(start.start_by);
+    commands_hash_.Signed(start.deadline);
+    commands_hash_.Signed(start.latest_start);
   }
   void Hash(const StartProbe& start) {
-    attempts_.push_back({start.ticket, true});
+    attempts_.push_back({start.operation_id, true});
     commands_hash_.Number(2);
-    commands_hash_.Number(start.ticket);
+    commands_hash_.Number(start.operation_id);
     commands_hash_.Number(start.server);
   }
-  void Hash(const EndTicket& end) {
+  void Hash(const CancelOperation& end) {
     commands_hash_.Number(3);
-    commands_hash_.Number(end.ticket);
+    commands_hash_.Number(end.operation_id);
   }
   void Hash(const SetAddress& set) {
     commands_hash_.Number(4);
     commands_hash_.Number(set.server);
     commands_hash_.Text(set.address);
   }
-  void Hash(const ForgetServer& forget) {
+  void Hash(const RemoveServer& forget) {
     commands_hash_.Number(5);
     commands_hash_.Number(forget.server);
   }
@@ -329,62 +332,62 @@
     commands_hash_.Number(6);
     commands_hash_.Number(close.server);
   }
-  void Hash(const AnswerRequest& answer) {
+  void Hash(const SendResponse& answer) {
     commands_hash_.Number(7);
     commands_hash_.Number(answer.id);
-    std::visit([this](const auto& what) { HashAnswer(what); }, answer.answer);
-    if (std::holds_alternative<Begun>(answer.answer)) begun_.push_back(answer.id);
+    std::visit([this](const auto& what) { HashAnswer(what); }, answer.response);
+    if (std::holds_alternative<StreamingResponse>(answer.response)) begun_.push_back(answer.id);
   }
-  void Hash(const RefreshList&) { commands_hash_.Number(8); }
-  void Hash(const TellPartners& tell) {
+  void Hash(const RefreshEndpointList&) { commands_hash_.Number(8); }
+  void Hash(const ReplicateToPeer& tell) {
     ++told_;
     commands_hash_.Number(9);
-    std::visit([this](const auto& news) { HashNews(news); }, tell.news);
+    std::visit([this](const auto& news) { HashNews(news); }, tell.update);
   }
   void Hash(const WriteLog& log) {
     commands_hash_.Number(10);
     commands_hash_.Text(log.text);
   }
-  void Hash(const WriteTrace& trace) {
+  void Hash(const TraceStep& trace) {
     trace_hash_.Signed(trace.when);
-    trace_hash_.Text(trace.text);
+    trace_hash_.Text(ToText(trace.event));
   }
 
-  void HashAnswer(const Served& served) {
+  void HashAnswer(const ServedResponse& served) {
     commands_hash_.Number(1);
-    commands_hash_.Text(served.value.shape);
-    commands_hash_.Text(served.value.value);
-    commands_hash_.Text(served.value.tag);
+    commands_hash_.Text(served.result.row_description);
+    commands_hash_.Text(served.result.value);
+    commands_hash_.Text(served.result.command_tag);
   }
-  void HashAnswer(const Refused& refused) {
+  void HashAnswer(const RejectedResponse& refused) {
     commands_hash_.Number(2);
     commands_hash_.Signed(refused.retry_after);
   }
-  void HashAnswer(const Failed&) { commands_hash_.Number(3); }
-  void HashAnswer(const Begun& begun) {
+  void HashAnswer(const FailedResponse&) { commands_hash_.Number(3); }
+  void HashAnswer(const StreamingResponse& begun) {
     commands_hash_.Number(4);
-    commands_hash_.Text(begun.transfer->shape());
-    commands_hash_.Number(begun.transfer->size());
+    commands_hash_.Text(begun.stream->row_description());
+    commands_hash_.Number(begun.stream->size());
   }
 
-  void HashNews(const SessionNews& news) {
+  void HashNews(const SessionUpdate& news) {
     commands_hash_.Number(1);
     commands_hash_.Number(news.key);
     commands_hash_.Signed(news.group);
     commands_hash_.Signed(news.commit_unix_ms);
   }
-  void HashNews(const ServerNews& news) {
+  void HashNews(const ServerUpdate& news) {
     commands_hash_.Number(2);
     commands_hash_.Text(news.id);
     commands_hash_.Number(static_cast<std::uint64_t>(news.role));
-    commands_hash_.Signed(news.heard);
+    commands_hash_.Signed(news.role_time);
     commands_hash_.Signed(news.position_unix_ms);
   }
 
   RunKind kind_;
   SplitMix64 random_;
   Micros now_ = kRunStart;
-  Exchange exchange_;
+  Dispatcher dispatcher_;
   Fnv1a commands_hash_, trace_hash_;
   std::vector<RequestId> open_, begun_;
   std::vector<Attempt> attempts_;
@@ -407,15 +410,15 @@
 TEST_P(CommandOracle, TheRunMeetsAllKindsOfEvents) {
   SeededRun run(GetParam());
   run.Play();
-  const ExchangeCounters& counters = run.counters();
+  const DispatchCounters& counters = run.counters();
   EXPECT_GT(run.commands(), 4000u);
   EXPECT_GT(run.transfers(), 10u);
   EXPECT_GT(counters.served, 50u);
-  EXPECT_GT(counters.refused, 50u);
+  EXPECT_GT(counters.rejected, 50u);
   EXPECT_GT(counters.failed, 20u);
-  EXPECT_GT(counters.left, 20u);
+  EXPECT_GT(counters.disconnected, 20u);
   EXPECT_GT(counters.probes, 20u);
-  for (const std::uint64_t outcomes : counters.outcomes) EXPECT_GT(outcomes, 0u);
+  for (const std::uint64_t outcomes : counters.attempt_outcomes) EXPECT_GT(outcomes, 0u);
   if (GetParam().kind == RunKind::kUpgrade) {
     EXPECT_GT(run.told(), 20u);
   }
--- a/tests/dnssd_test.cpp
+++ b/tests/dnssd_test.cpp
@@ -32,7 +32,7 @@
   explicit Browsing(
       Mode mode, std::vector<DnsZone*> servers,
       const std::function<void(ZoneOptions&)>& adjust = [](ZoneOptions&) {})
-      : network(Options(mode, adjust), std::move(servers), [this](Micros now, const Listing& listing) {
+      : network(Options(mode, adjust), std::move(servers), [this](Micros now, const EndpointList& listing) {
           ++listings;
           for (const ListedServer& server : listing.servers) {
             if (server.state == ServerState::kGone) {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -29,12 +29,12 @@
     EXPECT_EQ(std::get<HandoverStep>(*ParseHandoverLine(line.substr(0, line.size() - 1))), step);
   }
   const auto session =
-      std::get<SessionNews>(*ParseHandoverLine("session 18446744073709551615 3 1767225600123"));
+      std::get<SessionUpdate>(*ParseHandoverLine("session 18446744073709551615 3 1767225600123"));
   EXPECT_EQ(session.key, 18446744073709551615u);
   EXPECT_EQ(session.group, 3);
   EXPECT_EQ(session.commit_unix_ms, 1767225600123);
   EXPECT_EQ(ToLine(session), "session 18446744073709551615 3 1767225600123\n");
-  const auto server = std::get<ServerNews>(*ParseHandoverLine("server 2 17 0 s-5 b"));
+  const auto server = std::get<ServerUpdate>(*ParseHandoverLine("server 2 17 0 s-5 b"));
   EXPECT_EQ(server.id, "s-5 b");
   EXPECT_EQ(server.role, Role::kReplica);
   EXPECT_EQ(ToLine(server), "server 2 17 0 s-5 b\n");
@@ -55,8 +55,8 @@
       : handover(io, folder, "n/0", seed,
                  {[this](Partner, HandoverStep step) { steps.push_back(step); },
                   [this](const HandoverHolds& holds) { held = holds.descriptors; },
-                  [this](const SessionNews& news) { keys.push_back(news.key); },
-                  [this](const ServerNews& news) { servers.push_back(news.id); },
+                  [this](const SessionUpdate& news) { keys.push_back(news.key); },
+                  [this](const ServerUpdate& news) { servers.push_back(news.id); },
                   [this](Partner, bool done) { parted.push_back(done); }}) {}
 
   std::vector<HandoverStep> steps;
@@ -106,14 +106,14 @@
   ASSERT_TRUE(b.handover.JoinOlder());
   Until([&] { return !a.steps.empty(); });
   EXPECT_EQ(a.steps, (std::vector<HandoverStep>{HandoverStep::kHello}));
-  for (std::uint64_t key = 1; key <= 20'000; ++key) a.handover.TellNewer(SessionNews{key, 0, 5});
+  for (std::uint64_t key = 1; key <= 20'000; ++key) a.handover.TellNewer(SessionUpdate{key, 0, 5});
   a.handover.Step(Partner::kNewer, HandoverStep::kSynced);
   Until([&] { return !b.steps.empty(); });
   EXPECT_EQ(b.keys.size(), 20'000u);
   b.handover.Offer();
   ASSERT_TRUE(c.handover.JoinOlder());
   Until([&] { return !b.handover.alone() && b.steps.size() == 2; });
-  a.handover.Tell(SessionNews{77, 0, 5});
+  a.handover.Tell(SessionUpdate{77, 0, 5});
   b.handover.Poll();  // without a turn of the loop
   EXPECT_EQ(b.keys.back(), 77u);
   c.handover.Poll();
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -149,14 +149,14 @@
   server.sockets[0].close();
   ASSERT_TRUE(rig.Until([&] { return rig.outcomes(Status::kConnectFailed) == 1; }));
   const RequestId stays = rig.Ask("stays");
-  EXPECT_EQ(rig.exchange.counters().attempts, 1u);  // both are held
+  EXPECT_EQ(rig.dispatcher.counters().attempts, 1u);  // both are held
   rig.Leave(id);
   ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
   server.Greet(1);
   ASSERT_TRUE(rig.Until([&] { return server.Got(1, "stays"); }));
   server.Say(1, Row("v"));
   EXPECT_TRUE(rig.Until([&] { return rig.Served(stays); }));
-  EXPECT_EQ(rig.exchange.counters().attempts, 2u);
+  EXPECT_EQ(rig.dispatcher.counters().attempts, 2u);
 }
 
 // Guards against a read that waits for a replica to catch up and goes there after its client has left.
@@ -171,15 +171,16 @@
   const std::int64_t now = rig.clock.Now() / 1000;
   const RequestId id = rig.Ask("leaves", 20'000'000, now - 1000);
   const RequestId stays = rig.Ask("stays", 20'000'000, now - 1000);
-  EXPECT_EQ(rig.exchange.counters().attempts, 0u);
+  EXPECT_EQ(rig.dispatcher.counters().attempts, 0u);
   rig.Leave(id);
-  rig.exchange.Learn(rig.clock.Now(), ServerNews{"a", Role::kReplica, rig.clock.Now(), now - 500});
+  rig.dispatcher.ApplyPeerUpdate(rig.clock.Now(),
+                                 ServerUpdate{"a", Role::kReplica, rig.clock.Now(), now - 500});
   ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
   server.Greet(0);
   ASSERT_TRUE(rig.Until([&] { return server.Got(0, "stays"); }));
   server.Say(0, Row("v"));
   EXPECT_TRUE(rig.Until([&] { return rig.Served(stays); }));
-  EXPECT_EQ(rig.exchange.counters().attempts, 1u);
+  EXPECT_EQ(rig.dispatcher.counters().attempts, 1u);
 }
 
 // Guards against a large statement that gets its room, and is read and sent, after its client has left: while
@@ -187,10 +188,10 @@
 TEST_F(Leaving, WhileItWaitsForRoomForALargeStatement) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
-  exchange.Start(clock.Now(), Listing{1, true, {}});
+  Dispatcher dispatcher({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
+  dispatcher.Start(clock.Now(), EndpointList{1, true, {}});
   const Service service;
-  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 100, 1 << 20, 1 << 20}});
+  ClientFront front(io, clock, dispatcher, service, {Loopback(0), {100, 100, 100, 1 << 20, 1 << 20}});
   front.StartAccepting();
   const std::string large = Query(std::string(900'000, 'x'));
   std::vector<Peer> peers;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -50,7 +50,7 @@
     Take();
   }
   void Take() {
-    while (const std::optional<Listing> listing = members_.TakeListing()) {
+    while (const std::optional<EndpointList> listing = members_.TakeListing()) {
       EXPECT_FALSE(listing->complete);
       for (const ListedServer& server : listing->servers) {
         if (server.state == ServerState::kGone) {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -645,11 +645,11 @@
   ScriptedServer server([](const std::string&) { return Row("v"); });
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
-  ServerPool pool(io, clock, exchange, {30'000'000, 30'000'000, 8});
+  Dispatcher dispatcher({Settings{}, 1, {}, {}, 1'000'000});
+  ServerPool pool(io, clock, dispatcher, {30'000'000, 30'000'000, 8});
   pool.SetAddress(1, "127.0.0.1:" + std::to_string(server.port()));
-  const auto payload = std::make_shared<const Payload>(Payload{"late", 0, 0});
-  const auto in_time = std::make_shared<const Payload>(Payload{" is d", 0, 0});
+  const auto payload = std::make_shared<const RequestPayload>(RequestPayload{"late", 0, 0});
+  const auto in_time = std::make_shared<const RequestPayload>(RequestPayload{" is d", 0, 0});
   const Micros far = clock.Now() + 60'000'000;
   pool.Start(StartAttempt{1, 1, payload, far, clock.Now() - 1});
   pool.Start(StartAttempt{2, 1, in_time, far, far});
@@ -667,9 +667,9 @@
 TEST(ClientFront, IdleClientsGoBeforeAllPlacesAreTaken) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
+  Dispatcher dispatcher({Settings{}, 1, {}, {}, 1'000'000});
   const Service service;
-  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 4, 1 << 20}});
+  ClientFront front(io, clock, dispatcher, service, {Loopback(0), {100, 100, 4, 1 << 20}});
   front.StartAccepting();
   std::vector<tcp::socket> clients;
   for (const unsigned wanted : {4u, 8u}) {
@@ -692,9 +692,9 @@
 TEST(ClientFront, InARushEachNewClientTakesThePlaceOfAnIdleOne) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
+  Dispatcher dispatcher({Settings{}, 1, {}, {}, 1'000'000});
   const Service service;
-  ClientFront front(io, clock, exchange, service, {Loopback(0), {4, 4, 4, 1 << 20}});
+  ClientFront front(io, clock, dispatcher, service, {Loopback(0), {4, 4, 4, 1 << 20}});
   front.StartAccepting();
   std::vector<tcp::socket> clients;
   for (int i = 0; i < 40; ++i) clients.emplace_back(io).connect(Loopback(front.port()));
@@ -717,11 +717,11 @@
       settings.classes[0].aim = settings.classes[0].deadline = 100'000;
       settings.retry_after = told;
       settings.max_retry_after = 500'000;
-      Exchange exchange({settings, 1, {}, {}, 1'000'000});
+      Dispatcher dispatcher({settings, 1, {}, {}, 1'000'000});
       Service service;
       service.Start();
       if (out_of_service) service.TakeOut(0);  // long ago
-      ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 0, 100, 1 << 20}});
+      ClientFront front(io, clock, dispatcher, service, {Loopback(0), {100, 0, 100, 1 << 20}});
       front.StartAccepting();
       tcp::socket socket(io);
       socket.connect(Loopback(front.port()));
@@ -729,7 +729,7 @@
       std::string hello;
       pg::AppendStartup(hello, "api", "ledger");
       client.Write(hello + Ask("1"));
-      while (exchange.FiguresAt(clock.Now()).classes[0].second.dropped == 0) io.run_one();
+      while (dispatcher.StatisticsAt(clock.Now()).classes[0].dropped == 0) io.run_one();
       client.UntilReady();
       const std::string error = client.UntilReady()[0].second;
       EXPECT_EQ(pg::ParseError(error).code, out_of_service ? "57P03" : "53300");
--- a/tests/pg_test.cpp
+++ b/tests/pg_test.cpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "src/exchange/exchange.hpp"
+#include "src/dispatch/dispatcher.hpp"
 #include "src/pg/answer.hpp"
 #include "src/pg/statement.hpp"
 #include "src/pg/wire.hpp"
@@ -86,7 +86,7 @@
     } catch (const ProtocolError&) {
       ++refused;
     }
-    ParseReport(bytes);
+    ParseLoadReport(bytes);
     HousekeepingOf(bytes);
   }
   EXPECT_GT(refused, 1000);
@@ -106,10 +106,10 @@
   EXPECT_EQ(s->cluster, 2);
   EXPECT_EQ(s->after_ms, 1767225600123);
   EXPECT_FALSE(s->repeat);
-  const Payload payload{std::string(kSelect), s->wait_at, s->wait_size};
+  const RequestPayload payload{std::string(kSelect), s->wait_at, s->wait_size};
   std::string expected(kSelect);
   expected.replace(expected.find("480"), 3, "77");
-  EXPECT_EQ(std::string(payload.Before()) + "77" + std::string(payload.Behind()), expected);
+  EXPECT_EQ(std::string(payload.BeforeTimeout()) + "77" + std::string(payload.AfterTimeout()), expected);
   const auto insert = ParseStatement(
       "INSERT INTO rows (handle, blob) VALUES ('k1', '\\x9f03') RETURNING blob /* id=1,c=w,t=,d=5,k=5c0f,r=1 "
       "*/ ; ");
@@ -204,7 +204,7 @@
   EXPECT_EQ(outcome->status, GetParam().status);
   EXPECT_EQ(outcome->role, Role::kPrimary);
   EXPECT_EQ(outcome->position_unix_ms, 1767225600123);
-  EXPECT_EQ(outcome->served.value, GetParam().code ? "" : std::string("\0v", 2));
+  EXPECT_EQ(outcome->result.value, GetParam().code ? "" : std::string("\0v", 2));
 }
 INSTANTIATE_TEST_SUITE_P(Table, AnswerTest,
                          testing::Values(AnswerCase{nullptr, Status::kOk}, AnswerCase{"25006", Status::kMiss},
@@ -326,12 +326,12 @@
 }
 
 TEST(Report, NumbersByName) {
-  const auto report = ParseReport("x0=1767225600123.5,x1=1,util=0.61");
+  const auto report = ParseLoadReport("x0=1767225600123.5,x1=1,util=0.61");
   ASSERT_EQ(report.size(), 3u);
   EXPECT_EQ(report[0], (std::pair<std::string, double>{"x0", 1767225600123.5}));
   EXPECT_EQ(report[2], (std::pair<std::string, double>{"util", 0.61}));
   for (const char* spoilt : {"bad", "x0=1,bad", "x0=1,util=", "x0=1,y=0.5z", "x0=1,x1=nan", "x0=1,,x1=1"}) {
-    EXPECT_TRUE(ParseReport(spoilt).empty()) << spoilt;
+    EXPECT_TRUE(ParseLoadReport(spoilt).empty()) << spoilt;
   }
 }
 
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-#include "src/exchange/exchange.hpp"
+#include "src/dispatch/dispatcher.hpp"
 #include "src/net/pool.hpp"
 #include "standins/pg_peer.hpp"
 
@@ -36,7 +36,8 @@
     return settings;
   }
   explicit Rig(const Settings& settings = OneClass(Effect::kUnsafe), Micros idle_close = 60'000'000)
-      : exchange({settings, 1, {}, {}, 20'000'000}), pool(io, clock, exchange, {20'000'000, idle_close, 8}) {}
+      : dispatcher({settings, 1, {}, {}, 20'000'000}),
+        pool(io, clock, dispatcher, {20'000'000, idle_close, 8}) {}
   ~Rig() { pool.Stop(); }
 
   static ListedServer Listed(const std::string& id, std::uint16_t port,
@@ -49,11 +50,11 @@
     return server;
   }
   void Know(const std::vector<ListedServer>& servers) {
-    exchange.Start(clock.Now(), Listing{1, true, servers});
+    dispatcher.Start(clock.Now(), EndpointList{1, true, servers});
     Carry();
   }
   void Tell(const ListedServer& server) {
-    exchange.Heard(clock.Now(), Listing{++version_, false, {server}});
+    dispatcher.UpdateEndpoints(clock.Now(), EndpointList{++version_, false, {server}});
     Carry();
   }
   RequestId Ask(const std::string& statement, Micros wait = 20'000'000,
@@ -61,13 +62,13 @@
     ClientRequest request;
     request.wait = wait;
     request.after_unix_ms = after_unix_ms;
-    request.payload = std::make_shared<const Payload>(Payload{statement, statement.size(), 0});
-    const RequestId id = exchange.Submit(clock.Now(), request);
+    request.payload = std::make_shared<const RequestPayload>(RequestPayload{statement, statement.size(), 0});
+    const RequestId id = dispatcher.Submit(clock.Now(), request);
     Carry();
     return id;
   }
   void Leave(RequestId id) {
-    exchange.ClientLeft(clock.Now(), id);
+    dispatcher.ClientDisconnected(clock.Now(), id);
     Carry();
   }
   // What the sockets have to say by now waits in the loop, of which no handler has run.
@@ -98,34 +99,34 @@
     return is;
   }
   void Carry() {
-    exchange.Tick(clock.Now());
+    dispatcher.Tick(clock.Now());
     CarryOut();
   }
   void CarryOut() {
-    for (auto commands = exchange.TakeCommands(); !commands.empty(); commands = exchange.TakeCommands()) {
+    for (auto commands = dispatcher.TakeCommands(); !commands.empty(); commands = dispatcher.TakeCommands()) {
       for (const Command& command : commands) {
         if (const auto* attempt = std::get_if<StartAttempt>(&command)) pool.Start(*attempt);
-        if (const auto* end = std::get_if<EndTicket>(&command)) pool.End(end->ticket);
+        if (const auto* end = std::get_if<CancelOperation>(&command)) pool.End(end->operation_id);
         if (const auto* to = std::get_if<SetAddress>(&command)) pool.SetAddress(to->server, to->address);
-        if (const auto* forget = std::get_if<ForgetServer>(&command)) pool.Forget(forget->server);
-        if (const auto* answer = std::get_if<AnswerRequest>(&command))
-          answers.emplace(answer->id, answer->answer);
+        if (const auto* forget = std::get_if<RemoveServer>(&command)) pool.Forget(forget->server);
+        if (const auto* answer = std::get_if<SendResponse>(&command))
+          answers.emplace(answer->id, answer->response);
       }
     }
   }
   bool Served(RequestId id) {
     const auto it = answers.find(id);
-    return it != answers.end() && std::holds_alternative<tulipyoke::Served>(it->second);
+    return it != answers.end() && std::holds_alternative<tulipyoke::ServedResponse>(it->second);
   }
   std::uint64_t outcomes(Status status) const {
-    return exchange.counters().outcomes[static_cast<std::size_t>(status)];
+    return dispatcher.counters().attempt_outcomes[static_cast<std::size_t>(status)];
   }
 
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange;
+  Dispatcher dispatcher;
   ServerPool pool;
-  std::map<RequestId, Answer> answers;
+  std::map<RequestId, Response> answers;
 
  private:
   std::uint64_t version_ = 1;
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -126,9 +126,9 @@
 TEST(StopBacklog, WhoHasConnectedIsTakenIn) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
+  Dispatcher dispatcher({Settings{}, 1, {}, {}, 1'000'000});
   const Service service;
-  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 100, 1 << 20}});
+  ClientFront front(io, clock, dispatcher, service, {Loopback(0), {100, 100, 100, 1 << 20}});
   std::vector<tcp::socket> clients;
   for (int i = 0; i < 20; ++i) clients.emplace_back(io).connect(Loopback(front.port()));
   front.StopAccepting();
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -69,7 +69,9 @@
   std::unique_ptr<DiscoveryWatch> Watch(const std::string& address, Micros grace = 100'000) {
     return std::make_unique<DiscoveryWatch>(
         io,
-        [this](const Listing& listing) { heard += (heard.empty() ? "" : " ") + listing.servers.at(0).id; },
+        [this](const EndpointList& listing) {
+          heard += (heard.empty() ? "" : " ") + listing.servers.at(0).id;
+        },
         address, 5, Pace(grace));
   }
   std::string Address(const tcp::acceptor& agent) const {
