--- /dev/null
+++ b/src/dispatch/endpoint_directory.cpp
@@ -0,0 +1,108 @@
+#include "src/dispatch/endpoint_directory.hpp"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace tulipyoke {
+namespace {
+
+constexpr Micros kMicrosPerMs = 1000;
+
+// The index of the name, or 0 for an unknown one.
+int IndexOfName(const std::vector<std::string>& names, const std::string& name) {
+  const auto found = std::find(names.begin(), names.end(), name);
+  return found == names.end() ? 0 : static_cast<int>(found - names.begin());
+}
+
+}  // namespace
+
+EndpointDirectory::EndpointDirectory(std::vector<std::string> zones, std::vector<std::string> kinds)
+    : zones_(std::move(zones)), kinds_(std::move(kinds)) {}
+
+ListNews EndpointDirectory::Apply(const EndpointList& list, ListKind kind, std::vector<Command>& commands) {
+  ListNews update{kind, list.version, {}};
+  if (list.complete) RemoveUnlisted(list, commands);
+  for (const ListedServer& listed : list.servers) {
+    const bool gone = listed.state == ServerState::kGone;
+    if (gone && !entries_.contains(listed.id)) continue;
+    Entry& entry = FindOrAdd(listed.id);
+    UpdateServerSide(entry, listed, commands);
+    update.entries.push_back(ToModuleEntry(listed, entry.server));
+    if (gone) entries_.erase(listed.id);
+  }
+  return update;
+}
+
+void EndpointDirectory::RemoveUnlisted(const EndpointList& list, std::vector<Command>& commands) {
+  std::set<std::string_view> listed_ids;
+  for (const ListedServer& listed : list.servers) listed_ids.insert(listed.id);
+  std::erase_if(entries_, [&](const auto& item) {
+    const auto& [id, entry] = item;
+    if (listed_ids.contains(id)) return false;
+    commands.push_back(RemoveServer{entry.server});
+    return true;
+  });
+}
+
+EndpointDirectory::Entry& EndpointDirectory::FindOrAdd(const std::string& id) {
+  Entry& entry = entries_[id];
+  if (entry.server == 0) {
+    entry.server = next_server_;
+    ++next_server_;
+  }
+  return entry;
+}
+
+void EndpointDirectory::UpdateServerSide(Entry& entry, const ListedServer& listed,
+                                         std::vector<Command>& commands) {
+  const bool accepts = listed.state == ServerState::kReady;
+  const bool moved = !listed.address.empty() && entry.address != listed.address;
+  if (moved) entry.address = listed.address;
+  if (accepts && (moved || !entry.accepts_operations) && !entry.address.empty()) {
+    commands.push_back(SetAddress{entry.server, entry.address});
+  }
+  // An operation that waits for a connection there would otherwise start whenever the connection comes up,
+  // however long after this update.
+  if (!accepts && entry.accepts_operations) commands.push_back(RemoveServer{entry.server});
+  entry.accepts_operations = accepts;
+}
+
+ListEntry EndpointDirectory::ToModuleEntry(const ListedServer& listed, ServerId server) const {
+  ListEntry entry;
+  entry.server = server;
+  entry.group = listed.group;
+  entry.zone = IndexOfName(zones_, listed.zone);
+  entry.kind = IndexOfName(kinds_, listed.kind);
+  entry.state = listed.state;
+  entry.capacity_hint = listed.capacity_hint;
+  entry.boot_time = listed.started_unix_ms * kMicrosPerMs;
+  entry.leads = listed.leads;
+  return entry;
+}
+
+std::optional<ServerId> EndpointDirectory::Find(const std::string& id) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return std::nullopt;
+  return found->second.server;
+}
+
+std::string EndpointDirectory::IdOf(ServerId server) const {
+  for (const auto& [id, entry] : entries_) {
+    if (entry.server == server) return id;
+  }
+  return "-";
+}
+
+std::optional<std::string> EndpointDirectory::RecordReplicatedRole(ServerId server, Role role) {
+  for (auto& [id, entry] : entries_) {
+    if (entry.server != server) continue;
+    if (entry.replicated_role == role) return std::nullopt;
+    entry.replicated_role = role;
+    return id;
+  }
+  return std::nullopt;
+}
+
+}  // namespace tulipyoke
--- a/src/dispatch/endpoint_list.hpp
+++ b/src/dispatch/endpoint_list.hpp
@@ -1,4 +1,4 @@
-// What discovery tells of the servers, whichever way it was asked.
+// What service discovery reports about the servers, independent of the kind of discovery.
 #ifndef TULIPYOKE_SRC_DISPATCH_ENDPOINT_LIST_HPP_
 #define TULIPYOKE_SRC_DISPATCH_ENDPOINT_LIST_HPP_
 
@@ -16,14 +16,14 @@
   ServerState state = ServerState::kGone;
   double capacity_hint = 1;
   std::int64_t started_unix_ms = 0;  // 0: long ago
-  bool leads = false;
+  bool leads = false;                // listed as the primary of its group
 
   bool operator==(const ListedServer&) const = default;
 };
 
 struct EndpointList {
   std::uint64_t version = 0;
-  bool complete = false;  // the whole list, else only what changed
+  bool complete = false;  // a snapshot of all servers; otherwise only the changed ones
   std::vector<ListedServer> servers;
 };
 
--- a/src/dispatch/outcome.hpp
+++ b/src/dispatch/outcome.hpp
@@ -1,34 +1,53 @@
-// What comes back from a server for one attempt or probe, whatever protocol it speaks.
+// What a server returned for one attempt or probe, whatever protocol it speaks.
 #ifndef TULIPYOKE_SRC_DISPATCH_OUTCOME_HPP_
 #define TULIPYOKE_SRC_DISPATCH_OUTCOME_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <utility>
+#include <string_view>
 #include <vector>
 
 #include "tulipyoke/router.hpp"
 
 namespace tulipyoke {
 
-// A value as a server gave it. `row_description` is that protocol's own description of the value and
-// `command_tag` its word for what was done; a front that speaks the same protocol passes them on, another one
-// needs the value alone.
+// A value as a server returned it. `row_description` and `command_tag` are in the server's protocol: a client
+// of the same protocol gets them unchanged, a client of another one needs only the value.
 struct QueryResult {
   std::string row_description, value, command_tag;
 };
 
+// One field of a server's load report.
+struct LoadReportField {
+  std::string name;
+  double value = 0;
+
+  bool operator==(const LoadReportField&) const = default;
+};
+using LoadReport = std::vector<LoadReportField>;
+
 struct Outcome {
   Status status = Status::kOk;
   QueryResult result = {};  // with Status::kOk
   Role role = Role::kUnknown;
   std::optional<std::int64_t> position_unix_ms = {};
-  std::vector<std::pair<std::string, double>> report = {};  // by field name; positions as on sockets
+  LoadReport report = {};
 };
 
-// "inflight=7,util=0.61"; empty where any part of it cannot be read: the rest is not to be trusted either.
-std::vector<std::pair<std::string, double>> ParseLoadReport(const std::string& text);
+inline constexpr std::size_t kStatusCount = 9;
+
+inline std::size_t IndexOf(Status status) { return static_cast<std::size_t>(status); }
+
+// The status in counters and trace lines, e.g. "connect_failed".
+std::string_view StatusName(Status status);
+
+// Whether the server certainly did not begin to execute the attempt.
+bool CannotHaveRun(Status status);
+
+// Parses "inflight=7,util=0.61". A report with any malformed part is dropped as a whole: the result is empty.
+LoadReport ParseLoadReport(const std::string& text);
 
 }  // namespace tulipyoke
 
--- /dev/null
+++ b/src/dispatch/peer_replication.cpp
@@ -0,0 +1,63 @@
+#include "src/dispatch/peer_replication.hpp"
+
+#include <utility>
+
+namespace tulipyoke {
+namespace {
+
+constexpr std::uint64_t kAllSessions = 0;
+
+void PushFront(std::vector<Command>& commands, PeerUpdate update) {
+  commands.insert(commands.begin(), ReplicateToPeer{std::move(update)});
+}
+
+}  // namespace
+
+std::vector<SessionUpdate> PeerReplication::Sessions() const {
+  std::vector<SessionUpdate> updates;
+  for (const SessionWrote& session : router_.sessions(kAllSessions)) updates.push_back(ToUpdate(session));
+  return updates;
+}
+
+std::vector<ServerUpdate> PeerReplication::Servers() const {
+  std::vector<ServerUpdate> updates;
+  for (const auto& [id, entry] : directory_.entries()) updates.push_back(ToUpdate(id, entry.server));
+  return updates;
+}
+
+void PeerReplication::ReplicateOutcome(const Operation& operation, Role role, bool committed,
+                                       std::vector<Command>& commands) {
+  if (!enabled_) return;
+  if (committed && operation.key != 0) {
+    for (const SessionWrote& session : router_.sessions(operation.key)) {
+      PushFront(commands, ToUpdate(session));
+    }
+  }
+  if (role == Role::kUnknown) return;
+  if (const auto id = directory_.RecordReplicatedRole(operation.server, role)) {
+    PushFront(commands, ToUpdate(*id, operation.server));
+  }
+}
+
+SessionWrote PeerReplication::ToEvent(const SessionUpdate& update) const {
+  return {update.key, update.group, positions_.RoundUp(update.commit_unix_ms)};
+}
+
+std::optional<ServerShown> PeerReplication::ToEvent(const ServerUpdate& update) const {
+  const std::optional<ServerId> server = directory_.Find(update.id);
+  if (!server) return std::nullopt;
+  return ServerShown{*server, update.role, update.role_time, positions_.RoundDown(update.position_unix_ms)};
+}
+
+SessionUpdate PeerReplication::ToUpdate(const SessionWrote& session) const {
+  return {session.key, session.group, positions_.ToUnixMsRoundedUp(session.position_ms)};
+}
+
+ServerUpdate PeerReplication::ToUpdate(const std::string& id, ServerId server) const {
+  const ServerShown shown = router_.shown(server);
+  const bool has_position = shown.position_ms > 0;
+  return {id, shown.role, shown.role_time,
+          has_position ? positions_.ToUnixMsRoundedDown(shown.position_ms) : 0};
+}
+
+}  // namespace tulipyoke
--- /dev/null
+++ b/src/dispatch/peer_update.hpp
@@ -0,0 +1,32 @@
+// What two processes of one router tell each other while one takes over from the other.
+#ifndef TULIPYOKE_SRC_DISPATCH_PEER_UPDATE_HPP_
+#define TULIPYOKE_SRC_DISPATCH_PEER_UPDATE_HPP_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "tulipyoke/router.hpp"
+
+namespace tulipyoke {
+
+// The latest commit of a session.
+struct SessionUpdate {
+  std::uint64_t key = 0;  // 0: all sessions of the group that have no update of their own
+  int group = 0;
+  std::int64_t commit_unix_ms = 0;
+};
+
+// The role and the replication position that a server last showed.
+struct ServerUpdate {
+  std::string id;
+  Role role = Role::kUnknown;
+  Micros role_time = 0;
+  std::int64_t position_unix_ms = 0;  // 0: none
+};
+
+using PeerUpdate = std::variant<SessionUpdate, ServerUpdate>;
+
+}  // namespace tulipyoke
+
+#endif  // TULIPYOKE_SRC_DISPATCH_PEER_UPDATE_HPP_
--- a/src/dispatch/response_stream.hpp
+++ b/src/dispatch/response_stream.hpp
@@ -1,5 +1,5 @@
-// A large value on its way from a server to a client: the two sides meet here and nowhere else. What the
-// client has not taken yet is bounded by not reading more from the server. No I/O.
+// A large result on its way from a server to a client, with backpressure: the server side stops reading from
+// its socket while the buffer is full. No I/O; both sides run in the same thread.
 #ifndef TULIPYOKE_SRC_DISPATCH_RESPONSE_STREAM_HPP_
 #define TULIPYOKE_SRC_DISPATCH_RESPONSE_STREAM_HPP_
 
@@ -21,24 +21,26 @@
 
   const std::string& row_description() const { return row_description_; }
   std::size_t size() const { return size_; }
+  // Known once the stream is complete.
   const std::string& command_tag() const { return command_tag_; }
   State state() const { return state_; }
 
-  // The server's side. False: no more for now, until `on_writable`.
+  // Server side: appends bytes. Returns false if the writer must pause until `on_writable`.
   bool Write(std::string_view bytes) {
     buffer_ += bytes;
     if (on_update) on_update();
     return !full();
   }
-  // All of the value has been given, and the answer ended as it should.
+  // Server side: the whole value has been written and the server's response ended without an error.
   void Complete(std::string command_tag) {
     command_tag_ = std::move(command_tag);
     End(State::kComplete);
   }
+  // Server side: the rest of the value will not come.
   void Abort() { End(State::kAborted); }
   bool full() const { return buffer_.size() >= kBufferLimit; }
 
-  // The client's side: what there is.
+  // Client side: takes all buffered bytes.
   std::string Read() {
     std::string bytes = std::exchange(buffer_, {});
     if (bytes.size() >= kBufferLimit && on_writable) on_writable();
@@ -46,10 +48,11 @@
   }
   bool empty() const { return buffer_.empty(); }
 
-  std::function<void()> on_update = {}, on_writable = {};
+  std::function<void()> on_update = {};    // for the client side: bytes were written, or the state changed
+  std::function<void()> on_writable = {};  // for the server side: the buffer is no longer full
 
  private:
-  static constexpr std::size_t kBufferLimit = std::size_t{32} << 10;
+  static constexpr std::size_t kBufferLimit = std::size_t{32} << 10;  // bytes
 
   void End(State state) {
     if (state_ != State::kOpen) return;
--- /dev/null
+++ b/src/dispatch/stream_table.hpp
@@ -0,0 +1,41 @@
+// The streaming responses that have begun and whose clients have not received the end yet.
+#ifndef TULIPYOKE_SRC_DISPATCH_STREAM_TABLE_HPP_
+#define TULIPYOKE_SRC_DISPATCH_STREAM_TABLE_HPP_
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "src/dispatch/commands.hpp"
+#include "src/dispatch/in_flight_table.hpp"
+#include "tulipyoke/router.hpp"
+
+namespace tulipyoke {
+
+class StreamTable {
+ public:
+  struct Entry {
+    std::optional<OperationId> open_operation;  // none once the server has finished
+    Operation operation;
+    std::shared_ptr<ResponseStream> stream;
+  };
+
+  void Add(OperationId operation_id, const Operation& operation, std::shared_ptr<ResponseStream> stream);
+  // The request whose response streams from that operation, while the server has not finished.
+  std::optional<RequestId> FindRequest(OperationId operation_id) const;
+  // Null if the request has no streaming response. The pointer is valid until Remove.
+  const Entry* Find(RequestId request) const;
+  // The server has finished; the client may still have to receive the rest.
+  void CloseOperation(RequestId request);
+  void Remove(RequestId request);
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  std::unordered_map<RequestId, Entry> entries_;
+  std::unordered_map<OperationId, RequestId> open_operations_;
+};
+
+}  // namespace tulipyoke
+
+#endif  // TULIPYOKE_SRC_DISPATCH_STREAM_TABLE_HPP_
--- /dev/null
+++ b/src/dispatch/trace.hpp
@@ -0,0 +1,68 @@
+// The steps of a request that are logged when tracing is on, and their text.
+#ifndef TULIPYOKE_SRC_DISPATCH_TRACE_HPP_
+#define TULIPYOKE_SRC_DISPATCH_TRACE_HPP_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tulipyoke/router.hpp"
+
+namespace tulipyoke::trace {
+
+struct RequestReceived {
+  std::string client_request_id;  // as the client names it in its statement
+  RequestId request = 0;
+  std::string class_name;
+  int group = 0;
+  Micros timeout = 0;
+};
+
+enum class Result { kServed, kRejected, kFailed };
+
+struct RequestFinished {
+  RequestId request = 0;
+  Result result = Result::kServed;
+  Micros retry_after = 0;
+};
+
+struct AttemptStarted {
+  RequestId request = 0;
+  int attempt = 0;
+  std::string server;  // its id in service discovery, here and below
+  Micros timeout = 0;
+};
+
+struct AttemptFinished {
+  RequestId request = 0;
+  int attempt = 0;
+  std::string server;
+  Status status = Status::kOk;
+  Role role = Role::kUnknown;
+  Micros elapsed = 0;
+};
+
+struct ProbeFinished {
+  std::string server;
+  Status status = Status::kOk;
+  Micros elapsed = 0;
+};
+
+struct EndpointsUpdated {
+  struct Server {
+    std::string id;
+    ServerState state = ServerState::kGone;
+  };
+  bool complete = false;
+  std::vector<Server> servers;
+};
+
+using Event = std::variant<RequestReceived, RequestFinished, AttemptStarted, AttemptFinished, ProbeFinished,
+                           EndpointsUpdated>;
+
+// One line of `name=value` pairs behind the name of the step.
+std::string ToText(const Event& event);
+
+}  // namespace tulipyoke::trace
+
+#endif  // TULIPYOKE_SRC_DISPATCH_TRACE_HPP_
--- a/tests/pg_test.cpp
+++ b/tests/pg_test.cpp
@@ -328,8 +328,8 @@
 TEST(Report, NumbersByName) {
   const auto report = ParseLoadReport("x0=1767225600123.5,x1=1,util=0.61");
   ASSERT_EQ(report.size(), 3u);
-  EXPECT_EQ(report[0], (std::pair<std::string, double>{"x0", 1767225600123.5}));
-  EXPECT_EQ(report[2], (std::pair<std::string, double>{"util", 0.61}));
+  EXPECT_EQ(report[0], (LoadReportField{"x0", 1767225600123.5}));
+  EXPECT_EQ(report[2], (LoadReportField{"util", 0.61}));
   for (const char* spoilt : {"bad", "x0=1,bad", "x0=1,util=", "x0=1,y=0.5z", "x0=1,x1=nan", "x0=1,,x1=1"}) {
     EXPECT_TRUE(ParseLoadReport(spoilt).empty()) << spoilt;
   }
