--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "src/net/front.hpp"
-#include "tests/rig.hpp"
+#include "tests/dispatch/router_harness.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -20,44 +20,44 @@
  protected:
   // One connection that is up and rests no more: one request has been served on it.
   void Warm() {
-    rig.Know({Rig::Listed("a", server.port())});
-    const RequestId id = rig.Ask("first");
-    ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-    server.Greet(0);
-    ASSERT_TRUE(rig.Until([&] { return server.Got(0, "first"); }));
-    server.Say(0, Row("v"));
-    ASSERT_TRUE(rig.Until([&] { return rig.Served(id); }));
-    const Micros then = rig.clock.Now();
-    rig.Until([&] { return rig.clock.Now() > then + 10'000; });
-    rig.Settle();
+    harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+    const RequestId id = harness.Submit("first");
+    ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+    server.CompleteStartup(0);
+    ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "first"); }));
+    server.Send(0, Row("v"));
+    ASSERT_TRUE(harness.RunUntil([&] { return harness.IsServed(id); }));
+    const Micros then = harness.clock.Now();
+    harness.RunUntil([&] { return harness.clock.Now() > then + 10'000; });
+    harness.RunUntilIdle();
   }
   // Serves what is asked on the next connection there.
-  void ServeOn(HeldServer& at, std::size_t which, const std::string& statement, RequestId id) {
-    ASSERT_TRUE(rig.Until([&] { return at.Came(); }));
-    at.Greet(which);
-    ASSERT_TRUE(rig.Until([&] { return at.Got(which, statement); }));
-    at.Say(which, Row("v"));
-    EXPECT_TRUE(rig.Until([&] { return rig.Served(id); }));
+  void ServeOn(ManualServer& at, std::size_t which, const std::string& statement, RequestId id) {
+    ASSERT_TRUE(harness.RunUntil([&] { return at.Accept(); }));
+    at.CompleteStartup(which);
+    ASSERT_TRUE(harness.RunUntil([&] { return at.Received(which, statement); }));
+    at.Send(which, Row("v"));
+    EXPECT_TRUE(harness.RunUntil([&] { return harness.IsServed(id); }));
   }
   // The connection has ended, and that never came on it.
   void EndedWithout(std::size_t which, const std::string& statement) {
-    EXPECT_TRUE(rig.Until([&] { return server.Drain(which); }));
-    EXPECT_EQ(server.got[which].find(statement), std::string::npos);
+    EXPECT_TRUE(harness.RunUntil([&] { return server.ReadAvailable(which); }));
+    EXPECT_EQ(server.received[which].find(statement), std::string::npos);
   }
   // A statement waits for its connection as that whole list comes; it is served by the other server alone.
-  void GoesElsewhereOn(const std::vector<ListedServer>& list, HeldServer& other) {
-    rig.Know({Rig::Listed("a", server.port())});
-    const RequestId id = rig.Ask("statement");
-    ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-    rig.dispatcher.UpdateEndpoints(rig.clock.Now(), EndpointList{9, true, list});
-    rig.Carry();
-    server.Greet(0);  // late
+  void GoesElsewhereOn(const std::vector<ListedServer>& list, ManualServer& other) {
+    harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+    const RequestId id = harness.Submit("statement");
+    ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+    harness.dispatcher.UpdateEndpoints(harness.clock.Now(), EndpointList{9, true, list});
+    harness.RunTimers();
+    server.CompleteStartup(0);  // late
     ServeOn(other, 0, "statement", id);
     EndedWithout(0, "statement");
   }
 
-  HeldServer server;
-  Rig rig;
+  ManualServer server;
+  RouterHarness harness;
 };
 
 // Guards against a query that is sent on a connection whose end has come, and then said never to have been
@@ -65,22 +65,22 @@
 TEST_F(Crossing, AConnectionThatEndsAsItIsPickedTakesNoQuery) {
   Warm();
   server.sockets[0].shutdown(tcp::socket::shutdown_send);  // it goes on reading, and would run what comes
-  rig.Gather();
-  const RequestId id = rig.Ask("second");
+  harness.AwaitSocketEvents();
+  const RequestId id = harness.Submit("second");
   ServeOn(server, 1, "second", id);
-  server.Drain(0);
-  EXPECT_EQ(server.got[0].find("second"), std::string::npos);
-  EXPECT_EQ(rig.outcomes(Status::kConnectFailed), 0u);
+  server.ReadAvailable(0);
+  EXPECT_EQ(server.received[0].find("second"), std::string::npos);
+  EXPECT_EQ(harness.attempt_outcomes(Status::kConnectFailed), 0u);
 }
 
 // Guards against the same where the loop has not been told of the end yet.
 TEST_F(Crossing, AConnectionWhoseEndWasNotHeardOfYetTakesNoQuery) {
   Warm();
   server.sockets[0].shutdown(tcp::socket::shutdown_send);
-  const RequestId id = rig.Ask("second");
+  const RequestId id = harness.Submit("second");
   ServeOn(server, 1, "second", id);
-  server.Drain(0);
-  EXPECT_EQ(server.got[0].find("second"), std::string::npos);
+  server.ReadAvailable(0);
+  EXPECT_EQ(server.received[0].find("second"), std::string::npos);
 }
 
 // The socket of this process whose other end that is; -1: none.
@@ -100,90 +100,91 @@
 TEST(CrossingWrite, AnEndBehindTheLastByteIsAnAttemptThatMayHaveRun) {
   std::size_t size = std::size_t{64} << 20;  // more than fits
   for (int round = 0; round < 8; ++round) {
-    HeldServer server;
-    Rig rig;
-    rig.Know({Rig::Listed("a", server.port())});
-    const RequestId id = rig.Ask(std::string(size, 'x'));
-    ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-    server.Greet(0);
-    ASSERT_TRUE(rig.Until([&] { return rig.pool.connections() == 1 && server.Got(0, "ledger"); }));
+    ManualServer server;
+    RouterHarness harness;
+    harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+    const RequestId id = harness.Submit(std::string(size, 'x'));
+    ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+    server.CompleteStartup(0);
+    ASSERT_TRUE(
+        harness.RunUntil([&] { return harness.pool.connections() == 1 && server.Received(0, "ledger"); }));
     const int sends = OtherEndOf(server.sockets[0]);
     ASSERT_GE(sends, 0);
-    ASSERT_TRUE(rig.Until([&] {  // it is full
+    ASSERT_TRUE(harness.RunUntil([&] {  // it is full
       pollfd look{sends, POLLOUT, 0};
       return ::poll(&look, 1, 0) == 0;
     }));
-    rig.Settle();
+    harness.RunUntilIdle();
     pollfd look{sends, POLLOUT, 0};
-    while (::poll(&look, 1, 1) == 0) server.Drain(0);
-    const std::size_t most = server.got[0].size();
+    while (::poll(&look, 1, 1) == 0) server.ReadAvailable(0);
+    const std::size_t most = server.received[0].size();
     if (size > most + (std::size_t{1} << 20)) {
       size = most + 96'000;
       continue;
     }
     server.sockets[0].shutdown(tcp::socket::shutdown_send);
-    rig.Until([&] { return server.Drain(0) || rig.answers.contains(id); });
-    server.Drain(0);
+    harness.RunUntil([&] { return server.ReadAvailable(0) || harness.responses.contains(id); });
+    server.ReadAvailable(0);
     // What arrived whole has run, for all that is known.
-    ASSERT_GT(server.got[0].size(), size);
-    EXPECT_EQ(rig.outcomes(Status::kReset), 1u);
-    EXPECT_EQ(rig.outcomes(Status::kConnectFailed), 0u);
+    ASSERT_GT(server.received[0].size(), size);
+    EXPECT_EQ(harness.attempt_outcomes(Status::kReset), 1u);
+    EXPECT_EQ(harness.attempt_outcomes(Status::kConnectFailed), 0u);
   }
 }
 
 // Guards against the next query's bytes behind half of another: the server answered before it had read all.
 TEST_F(Crossing, AnAnswerBeforeTheStatementIsWholeEndsTheConnection) {
   Warm();
-  const RequestId id = rig.Ask(std::string(std::size_t{64} << 20, 'x'));
-  rig.Settle();
+  const RequestId id = harness.Submit(std::string(std::size_t{64} << 20, 'x'));
+  harness.RunUntilIdle();
   std::string refusal;
   pg::AppendError(refusal, "ERROR", "53300", "not now");
   pg::AppendReady(refusal);
-  server.Say(0, refusal);
-  rig.Until([&] { return rig.outcomes(Status::kFull) == 1; });
-  rig.Leave(id);
-  EXPECT_TRUE(rig.Until([&] { return server.Drain(0); }));
-  EXPECT_LT(server.got[0].size(), std::size_t{64} << 20);
+  server.Send(0, refusal);
+  harness.RunUntil([&] { return harness.attempt_outcomes(Status::kFull) == 1; });
+  harness.Disconnect(id);
+  EXPECT_TRUE(harness.RunUntil([&] { return server.ReadAvailable(0); }));
+  EXPECT_LT(server.received[0].size(), std::size_t{64} << 20);
 }
 
 // Guards against a sweep that comes round less often than connections go idle: the one that is picked may be
 // past its time, and its close crosses the query.
 TEST(CrossingIdle, AConnectionPastItsTimeIsNotPicked) {
-  HeldServer server;
-  Rig rig(Rig::OneClass(Effect::kUnsafe), 10);
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId first = rig.Ask("first");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  server.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "first"); }));
-  server.Say(0, Row("v"));
-  ASSERT_TRUE(rig.Until([&] { return rig.Served(first); }));
-  const Micros then = rig.clock.Now();
-  rig.Until([&] { return rig.clock.Now() > then + 10'000; });
-  rig.Ask("second");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  server.Greet(1);
-  EXPECT_TRUE(rig.Until([&] { return server.Got(1, "second"); }));
-  server.Drain(0);
-  EXPECT_EQ(server.got[0].find("second"), std::string::npos);
+  ManualServer server;
+  RouterHarness harness(RouterHarness::SingleClassSettings(Effect::kUnsafe), 10);
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const RequestId first = harness.Submit("first");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  server.CompleteStartup(0);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "first"); }));
+  server.Send(0, Row("v"));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.IsServed(first); }));
+  const Micros then = harness.clock.Now();
+  harness.RunUntil([&] { return harness.clock.Now() > then + 10'000; });
+  harness.Submit("second");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  server.CompleteStartup(1);
+  EXPECT_TRUE(harness.RunUntil([&] { return server.Received(1, "second"); }));
+  server.ReadAvailable(0);
+  EXPECT_EQ(server.received[0].find("second"), std::string::npos);
 }
 
 // Guards against a send after the grace: the attempt waited for its connection when its server began to
 // drain, and that comes up whenever it does.
 TEST_F(Crossing, WhatWaitsForAConnectionWhenItsServerDrainsGoesElsewhere) {
-  HeldServer other;
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId id = rig.Ask("statement");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  rig.Tell(Rig::Listed("b", other.port()));
-  rig.Tell(Rig::Listed("a", server.port(), ServerState::kDraining));
-  server.Greet(0);  // late
+  ManualServer other;
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const RequestId id = harness.Submit("statement");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  harness.UpdateServer(RouterHarness::ListedServerAt("b", other.port()));
+  harness.UpdateServer(RouterHarness::ListedServerAt("a", server.port(), ServerState::kDraining));
+  server.CompleteStartup(0);  // late
   ServeOn(other, 0, "statement", id);
   EndedWithout(0, "statement");
   // Back in service, it takes requests again.
-  rig.Tell(Rig::Listed("b", other.port(), ServerState::kDraining));
-  rig.Tell(Rig::Listed("a", server.port()));
-  const RequestId next = rig.Ask("next");
+  harness.UpdateServer(RouterHarness::ListedServerAt("b", other.port(), ServerState::kDraining));
+  harness.UpdateServer(RouterHarness::ListedServerAt("a", server.port()));
+  const RequestId next = harness.Submit("next");
   ServeOn(server, 1, "next", next);
 }
 
@@ -191,12 +192,12 @@
 TEST_F(Crossing, AStatementWhoseClientLeavesWhileItIsSentIsNotSentToItsEnd) {
   Warm();
   const std::string statement(std::size_t{64} << 20, 'x');
-  const RequestId id = rig.Ask(statement);
-  rig.Settle();
-  rig.Leave(id);
-  EXPECT_TRUE(rig.Until([&] { return server.Drain(0); }));
-  EXPECT_LT(server.got[0].size(), statement.size());
-  EXPECT_EQ(rig.outcomes(Status::kMoot), 1u);
+  const RequestId id = harness.Submit(statement);
+  harness.RunUntilIdle();
+  harness.Disconnect(id);
+  EXPECT_TRUE(harness.RunUntil([&] { return server.ReadAvailable(0); }));
+  EXPECT_LT(server.received[0].size(), statement.size());
+  EXPECT_EQ(harness.attempt_outcomes(Status::kMoot), 1u);
 }
 
 // Guards against a request sent in the very turn in which its client's leaving was read behind it.
@@ -205,46 +206,47 @@
   ClientRequest request;
   request.wait = 20'000'000;
   request.payload = std::make_shared<const RequestPayload>(RequestPayload{"second", 6, 0});
-  const RequestId id = rig.dispatcher.Submit(rig.clock.Now(), request);
-  rig.Leave(id);
-  const RequestId third = rig.Ask("third");
-  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "third"); }));
-  EXPECT_EQ(server.got[0].find("second"), std::string::npos);
-  server.Say(0, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.Served(third); }));
+  const RequestId id = harness.dispatcher.Submit(harness.clock.Now(), request);
+  harness.Disconnect(id);
+  const RequestId third = harness.Submit("third");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "third"); }));
+  EXPECT_EQ(server.received[0].find("second"), std::string::npos);
+  server.Send(0, Row("v"));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsServed(third); }));
 }
 
 // What has been sent whole is let finish where it may not be repeated: its outcome tells a commit.
 TEST_F(Crossing, WhatWasSentWholeIsNotEndedByItsClientsLeaving) {
   Warm();
-  const RequestId id = rig.Ask("second");
-  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "second"); }));
-  rig.Leave(id);
-  server.Say(0, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.outcomes(Status::kOk) == 2; }));
+  const RequestId id = harness.Submit("second");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "second"); }));
+  harness.Disconnect(id);
+  server.Send(0, Row("v"));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.attempt_outcomes(Status::kOk) == 2; }));
 }
 
 // Guards against a send to a server that is in a whole list no more: its connection comes up all the same.
 TEST_F(Crossing, WhatWaitsForAConnectionWhenItsServerLeavesTheListGoesElsewhere) {
-  HeldServer other;
-  GoesElsewhereOn({Rig::Listed("b", other.port())}, other);
+  ManualServer other;
+  GoesElsewhereOn({RouterHarness::ListedServerAt("b", other.port())}, other);
 }
 
 // Guards against a start from an old list: what it knew holds only until the first word of the watch, also
 // for what waits for a connection by then.
 TEST_F(Crossing, AnOldListAtTheStartHoldsUntilTheFirstWordOnly) {
-  HeldServer other;
-  GoesElsewhereOn({Rig::Listed("a", server.port(), ServerState::kDraining), Rig::Listed("b", other.port())},
+  ManualServer other;
+  GoesElsewhereOn({RouterHarness::ListedServerAt("a", server.port(), ServerState::kDraining),
+                   RouterHarness::ListedServerAt("b", other.port())},
                   other);
 }
 
 // Guards against a statement that goes to where its server no longer is.
 TEST_F(Crossing, WhatWaitsForAConnectionWhenTheAddressMovesGoesToTheNewOne) {
-  HeldServer moved;
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId id = rig.Ask("statement");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  rig.Tell(Rig::Listed("a", moved.port()));  // the old one never comes up
+  ManualServer moved;
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const RequestId id = harness.Submit("statement");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  harness.UpdateServer(RouterHarness::ListedServerAt("a", moved.port()));  // the old one never comes up
   ServeOn(moved, 0, "statement", id);
   EndedWithout(0, "statement");
 }
@@ -252,14 +254,14 @@
 // Guards against the next query on the connection that was busy as the address moved, and against that
 // query's end.
 TEST_F(Crossing, WhatIsOutWhenTheAddressMovesIsLetFinishAndNothingFollowsIt) {
-  HeldServer moved;
+  ManualServer moved;
   Warm();
-  const RequestId id = rig.Ask("second");
-  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "second"); }));
-  rig.Tell(Rig::Listed("a", moved.port()));
-  server.Say(0, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.Served(id); }));
-  const RequestId third = rig.Ask("third");
+  const RequestId id = harness.Submit("second");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "second"); }));
+  harness.UpdateServer(RouterHarness::ListedServerAt("a", moved.port()));
+  server.Send(0, Row("v"));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsServed(id); }));
+  const RequestId third = harness.Submit("third");
   ServeOn(moved, 0, "third", third);
   EndedWithout(0, "third");
 }
@@ -268,64 +270,66 @@
 // connection: what may have run is not sent again, what has not goes to the new process.
 TEST_F(Crossing, AServerThatRestartsUnderItsIdTakesWhatHasNotRun) {
   Warm();
-  const RequestId out = rig.Ask("second");
-  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "second"); }));
-  const RequestId waits = rig.Ask("third");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  const RequestId out = harness.Submit("second");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "second"); }));
+  const RequestId waits = harness.Submit("third");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
   server.sockets[0].close();
   server.sockets[1].close();
-  ListedServer anew = Rig::Listed("a", server.port());
-  anew.started_unix_ms = rig.clock.Now() / 1000;
-  rig.Tell(anew);
+  ListedServer anew = RouterHarness::ListedServerAt("a", server.port());
+  anew.started_unix_ms = harness.clock.Now() / 1000;
+  harness.UpdateServer(anew);
   ServeOn(server, 2, "third", waits);
-  EXPECT_TRUE(rig.Until([&] { return rig.answers.contains(out); }));
-  EXPECT_TRUE(std::holds_alternative<FailedResponse>(rig.answers.at(out)));
-  EXPECT_EQ(server.got[2].find("second"), std::string::npos);
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.responses.contains(out); }));
+  EXPECT_TRUE(std::holds_alternative<FailedResponse>(harness.responses.at(out)));
+  EXPECT_EQ(server.received[2].find("second"), std::string::npos);
 }
 
 // Guards against a statement broken off in the middle, which began before its server drained.
 TEST_F(Crossing, AStatementThatIsBeingWrittenWhenItsServerDrainsIsWrittenWhole) {
   Warm();
   const std::string statement(std::size_t{64} << 20, 'x');
-  const RequestId id = rig.Ask(statement);
-  rig.Settle();
-  rig.Tell(Rig::Listed("a", server.port(), ServerState::kDraining));
-  ASSERT_TRUE(rig.Until([&] { return server.Drain(0) || server.got[0].size() > statement.size(); }));
-  server.Say(0, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.Served(id); }));
+  const RequestId id = harness.Submit(statement);
+  harness.RunUntilIdle();
+  harness.UpdateServer(RouterHarness::ListedServerAt("a", server.port(), ServerState::kDraining));
+  ASSERT_TRUE(harness.RunUntil(
+      [&] { return server.ReadAvailable(0) || server.received[0].size() > statement.size(); }));
+  server.Send(0, Row("v"));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsServed(id); }));
 }
 
 // Guards against a repeat that began within its window and is whole after it: servers begin with the last
 // byte, so that it would run a second time.
 TEST(CrossingWindow, ARepeatWhoseLastByteWouldComeTooLateIsNotSentToItsEnd) {
-  Settings settings = Rig::OneClass(Effect::kKeyed);
+  Settings settings = RouterHarness::SingleClassSettings(Effect::kKeyed);
   settings.classes[0].repeat_window = 400'000;
-  HeldServer first, second;
-  Rig rig(settings);
-  rig.Know({Rig::Listed("a", first.port())});
+  ManualServer first, second;
+  RouterHarness harness(settings);
+  harness.Start({RouterHarness::ListedServerAt("a", first.port())});
   const std::string statement(std::size_t{64} << 20, 'x');
-  const RequestId id = rig.Ask(statement);
-  ASSERT_TRUE(rig.Until([&] { return first.Came(); }));
-  first.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return first.Got(0, "xxx"); }));
-  const Micros window_over = rig.clock.Now() + 400'000;
-  rig.Tell(Rig::Listed("b", second.port()));
+  const RequestId id = harness.Submit(statement);
+  ASSERT_TRUE(harness.RunUntil([&] { return first.Accept(); }));
+  first.CompleteStartup(0);
+  ASSERT_TRUE(harness.RunUntil([&] { return first.Received(0, "xxx"); }));
+  const Micros window_over = harness.clock.Now() + 400'000;
+  harness.UpdateServer(RouterHarness::ListedServerAt("b", second.port()));
   std::string error;
   pg::AppendError(error, "ERROR", "XX000", "it may have run");
   pg::AppendReady(error);
-  first.Say(0, error);
-  ASSERT_TRUE(rig.Until([&] { return second.Came(); }));
-  second.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return second.Got(0, "xxx"); }));
-  ASSERT_TRUE(rig.Until([&] { return rig.clock.Now() > window_over; }));
-  EXPECT_TRUE(rig.Until([&] { return second.Drain(0) || second.got[0].size() > statement.size(); }));
-  EXPECT_LT(second.got[0].size(), statement.size());
-  EXPECT_EQ(rig.outcomes(Status::kMoot), 1u);
-  EXPECT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
+  first.Send(0, error);
+  ASSERT_TRUE(harness.RunUntil([&] { return second.Accept(); }));
+  second.CompleteStartup(0);
+  ASSERT_TRUE(harness.RunUntil([&] { return second.Received(0, "xxx"); }));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.clock.Now() > window_over; }));
+  EXPECT_TRUE(harness.RunUntil(
+      [&] { return second.ReadAvailable(0) || second.received[0].size() > statement.size(); }));
+  EXPECT_LT(second.received[0].size(), statement.size());
+  EXPECT_EQ(harness.attempt_outcomes(Status::kMoot), 1u);
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.responses.contains(id); }));
 }
 
 Settings Soon() {
-  Settings settings = Rig::OneClass(Effect::kUnsafe);
+  Settings settings = RouterHarness::SingleClassSettings(Effect::kUnsafe);
   settings.classes[0].aim = settings.classes[0].deadline = 300'000;
   return settings;
 }
@@ -333,85 +337,85 @@
 // Guards against an attempt that is said to have run, perhaps, though its connection never came up: its
 // client would be told that it failed, where trying again is harmless.
 TEST(CrossingDeadline, WhatStillWaitsForItsConnectionAtTheDeadlineNeverRan) {
-  HeldServer server;
-  Rig rig(Soon());
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId id = rig.Ask("statement", 300'000);
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  ASSERT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
-  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(rig.answers.at(id)));
-  EXPECT_EQ(rig.outcomes(Status::kConnectFailed), 1u);
+  ManualServer server;
+  RouterHarness harness(Soon());
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const RequestId id = harness.Submit("statement", 300'000);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.responses.contains(id); }));
+  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(harness.responses.at(id)));
+  EXPECT_EQ(harness.attempt_outcomes(Status::kConnectFailed), 1u);
 }
 
 // Guards against a second answer, or none, where the value lies ready as the deadline is over, whichever of
 // the two is heard of first.
 TEST(CrossingDeadline, AnAnswerThatLiesReadyAtTheDeadlineMakesOneAnswer) {
   for (const bool answer_first : {true, false}) {
-    HeldServer server;
-    Rig rig(Soon());
-    rig.Know({Rig::Listed("a", server.port())});
-    const RequestId id = rig.Ask("statement", 300'000);
-    ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-    server.Greet(0);
-    ASSERT_TRUE(rig.Until([&] { return server.Got(0, "statement"); }));
-    server.Say(0, Row("v"));
+    ManualServer server;
+    RouterHarness harness(Soon());
+    harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+    const RequestId id = harness.Submit("statement", 300'000);
+    ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+    server.CompleteStartup(0);
+    ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "statement"); }));
+    server.Send(0, Row("v"));
     const auto over = std::chrono::steady_clock::now() + std::chrono::milliseconds(320);
     while (std::chrono::steady_clock::now() < over) {
     }
-    rig.clock.NewTurn();
-    if (!answer_first) rig.Carry();
-    rig.Settle();
-    EXPECT_EQ(rig.Served(id), answer_first);
-    const DispatchCounters& counters = rig.dispatcher.counters();
+    harness.clock.NewTurn();
+    if (!answer_first) harness.RunTimers();
+    harness.RunUntilIdle();
+    EXPECT_EQ(harness.IsServed(id), answer_first);
+    const DispatchCounters& counters = harness.dispatcher.counters();
     EXPECT_EQ(counters.served, answer_first ? 1u : 0u);
     EXPECT_EQ(counters.rejected + counters.failed, answer_first ? 0u : 1u);
-    EXPECT_EQ(rig.pool.connections(), answer_first ? 1u : 0u);
+    EXPECT_EQ(harness.pool.connections(), answer_first ? 1u : 0u);
   }
 }
 
 // Guards against an answer without end that holds its request, or fills the memory.
 TEST(CrossingSpoilt, AnAnswerThatNeverEndsIsEndedByItsTime) {
-  Settings settings = Rig::OneClass(Effect::kSafe);
+  Settings settings = RouterHarness::SingleClassSettings(Effect::kSafe);
   settings.classes[0].aim = 300'000;
-  HeldServer server;
-  Rig rig(settings);
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId id = rig.Ask("statement");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  server.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "statement"); }));
+  ManualServer server;
+  RouterHarness harness(settings);
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const RequestId id = harness.Submit("statement");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  server.CompleteStartup(0);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "statement"); }));
   std::string more;
   pg::AppendParameterStatus(more, "more", std::string(1000, 'x'));
-  ASSERT_TRUE(rig.Until([&] {
-    server.Say(0, more);
-    return rig.answers.contains(id);
+  ASSERT_TRUE(harness.RunUntil([&] {
+    server.Send(0, more);
+    return harness.responses.contains(id);
   }));
-  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(rig.answers.at(id)));
-  EXPECT_EQ(rig.pool.connections(), 0u);
+  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(harness.responses.at(id)));
+  EXPECT_EQ(harness.pool.connections(), 0u);
 }
 
 // Guards against a good answer that lies behind a spoilt one and is taken for the next query's, and against
 // two attempts out at once: the spoilt one's connection is closed before the next server hears anything.
 TEST(CrossingSpoilt, AGoodAnswerBehindASpoiltOneIsNobodys) {
-  HeldServer first, second;
-  Rig rig(Rig::OneClass(Effect::kSafe));
-  rig.Know({Rig::Listed("a", first.port())});
-  const RequestId id = rig.Ask("statement");
-  ASSERT_TRUE(rig.Until([&] { return first.Came(); }));
-  first.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return first.Got(0, "statement"); }));
-  rig.Tell(Rig::Listed("b", second.port()));
+  ManualServer first, second;
+  RouterHarness harness(RouterHarness::SingleClassSettings(Effect::kSafe));
+  harness.Start({RouterHarness::ListedServerAt("a", first.port())});
+  const RequestId id = harness.Submit("statement");
+  ASSERT_TRUE(harness.RunUntil([&] { return first.Accept(); }));
+  first.CompleteStartup(0);
+  ASSERT_TRUE(harness.RunUntil([&] { return first.Received(0, "statement"); }));
+  harness.UpdateServer(RouterHarness::ListedServerAt("b", second.port()));
   std::string spoilt;
   pg::AppendMessage(spoilt, 'W', "no such message");
-  first.Say(0, spoilt + Row("not asked for"));
-  ASSERT_TRUE(rig.Until([&] { return second.Came(); }));
-  EXPECT_TRUE(first.Drain(0));  // not a turn later
-  second.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return second.Got(0, "statement"); }));
-  second.Say(0, Row("v"));
-  ASSERT_TRUE(rig.Until([&] { return rig.Served(id); }));
-  EXPECT_EQ(std::get<ServedResponse>(rig.answers.at(id)).result.value, "v");
-  EXPECT_EQ(rig.outcomes(Status::kError), 1u);
+  first.Send(0, spoilt + Row("not asked for"));
+  ASSERT_TRUE(harness.RunUntil([&] { return second.Accept(); }));
+  EXPECT_TRUE(first.ReadAvailable(0));  // not a turn later
+  second.CompleteStartup(0);
+  ASSERT_TRUE(harness.RunUntil([&] { return second.Received(0, "statement"); }));
+  second.Send(0, Row("v"));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.IsServed(id); }));
+  EXPECT_EQ(std::get<ServedResponse>(harness.responses.at(id)).result.value, "v");
+  EXPECT_EQ(harness.attempt_outcomes(Status::kError), 1u);
 }
 
 // Guards against accepting that goes on after it was paused: the pause behind an error was just over.
@@ -448,27 +452,27 @@
 // Guards against one attempt more than the settings allow, where each is ended by an error and another server
 // is free to take it.
 TEST(CrossingRetries, TheLastAllowedAttemptIsTheLast) {
-  Settings settings = Rig::OneClass(Effect::kSafe);
+  Settings settings = RouterHarness::SingleClassSettings(Effect::kSafe);
   settings.max_attempts = 2;
-  HeldServer servers[3];
-  Rig rig(settings);
-  rig.Know({Rig::Listed("0", servers[0].port())});
-  const RequestId id = rig.Ask("statement");
+  ManualServer servers[3];
+  RouterHarness harness(settings);
+  harness.Start({RouterHarness::ListedServerAt("0", servers[0].port())});
+  const RequestId id = harness.Submit("statement");
   std::string error;
   pg::AppendError(error, "ERROR", "XX000", "it may have run");
   pg::AppendReady(error);
   for (std::size_t i = 0; i < 2; ++i) {
-    ASSERT_TRUE(rig.Until([&] { return servers[i].Came(); }));
-    servers[i].Greet(0);
-    ASSERT_TRUE(rig.Until([&] { return servers[i].Got(0, "statement"); }));
-    rig.Tell(Rig::Listed(std::to_string(i + 1), servers[i + 1].port()));
-    EXPECT_FALSE(rig.answers.contains(id));
-    servers[i].Say(0, error);
+    ASSERT_TRUE(harness.RunUntil([&] { return servers[i].Accept(); }));
+    servers[i].CompleteStartup(0);
+    ASSERT_TRUE(harness.RunUntil([&] { return servers[i].Received(0, "statement"); }));
+    harness.UpdateServer(RouterHarness::ListedServerAt(std::to_string(i + 1), servers[i + 1].port()));
+    EXPECT_FALSE(harness.responses.contains(id));
+    servers[i].Send(0, error);
   }
-  ASSERT_TRUE(rig.Until([&] { return rig.answers.contains(id); }));
-  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(rig.answers.at(id)));
-  rig.Settle();
-  EXPECT_FALSE(servers[2].Came());
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.responses.contains(id); }));
+  EXPECT_TRUE(std::holds_alternative<RejectedResponse>(harness.responses.at(id)));
+  harness.RunUntilIdle();
+  EXPECT_FALSE(servers[2].Accept());
 }
 
 // Guards against a client that is closed in the middle of its request: another process of this router tells
@@ -476,7 +480,7 @@
 TEST(CrossingNews, WhatMakesRoomWhileARequestIsReadDoesNotCloseItsClient) {
   asio::io_context io;
   LoopClock clock;
-  Dispatcher dispatcher({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
+  Dispatcher dispatcher({RouterHarness::SingleClassSettings(Effect::kUnsafe), 1, {}, {}, 1'000'000});
   dispatcher.Start(clock.Now(), EndpointList{1, true, {}});
   const Service service;
   ClientFront* told = nullptr;
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "src/net/front.hpp"
-#include "tests/rig.hpp"
+#include "tests/dispatch/router_harness.hpp"
 #include "tests/running.hpp"
 
 namespace tulipyoke::net {
@@ -139,48 +139,48 @@
 // Guards against a request whose attempt could not connect and that is sent again after its client has left;
 // the one beside it shows that there was a further try to be had.
 TEST_F(Leaving, WhileItIsHeldForAFurtherTry) {
-  Settings settings = Rig::OneClass(Effect::kUnsafe);
+  Settings settings = RouterHarness::SingleClassSettings(Effect::kUnsafe);
   settings.classes[0].aim = 800'000;
-  HeldServer server;
-  Rig rig(settings);
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId id = rig.Ask("leaves");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  ManualServer server;
+  RouterHarness harness(settings);
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const RequestId id = harness.Submit("leaves");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
   server.sockets[0].close();
-  ASSERT_TRUE(rig.Until([&] { return rig.outcomes(Status::kConnectFailed) == 1; }));
-  const RequestId stays = rig.Ask("stays");
-  EXPECT_EQ(rig.dispatcher.counters().attempts, 1u);  // both are held
-  rig.Leave(id);
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  server.Greet(1);
-  ASSERT_TRUE(rig.Until([&] { return server.Got(1, "stays"); }));
-  server.Say(1, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.Served(stays); }));
-  EXPECT_EQ(rig.dispatcher.counters().attempts, 2u);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.attempt_outcomes(Status::kConnectFailed) == 1; }));
+  const RequestId stays = harness.Submit("stays");
+  EXPECT_EQ(harness.dispatcher.counters().attempts, 1u);  // both are held
+  harness.Disconnect(id);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  server.CompleteStartup(1);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(1, "stays"); }));
+  server.Send(1, Row("v"));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsServed(stays); }));
+  EXPECT_EQ(harness.dispatcher.counters().attempts, 2u);
 }
 
 // Guards against a read that waits for a replica to catch up and goes there after its client has left.
 TEST_F(Leaving, WhileItIsHeldForCatchUp) {
-  Settings settings = Rig::OneClass(Effect::kSafe);
+  Settings settings = RouterHarness::SingleClassSettings(Effect::kSafe);
   settings.classes[0].freshness = Freshness::kSession;
   settings.classes[0].aim = 800'000;
   settings.token_mode = TokenMode::kCarried;
-  HeldServer server;
-  Rig rig(settings);
-  rig.Know({Rig::Listed("a", server.port())});
-  const std::int64_t now = rig.clock.Now() / 1000;
-  const RequestId id = rig.Ask("leaves", 20'000'000, now - 1000);
-  const RequestId stays = rig.Ask("stays", 20'000'000, now - 1000);
-  EXPECT_EQ(rig.dispatcher.counters().attempts, 0u);
-  rig.Leave(id);
-  rig.dispatcher.ApplyPeerUpdate(rig.clock.Now(),
-                                 ServerUpdate{"a", Role::kReplica, rig.clock.Now(), now - 500});
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  server.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "stays"); }));
-  server.Say(0, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.Served(stays); }));
-  EXPECT_EQ(rig.dispatcher.counters().attempts, 1u);
+  ManualServer server;
+  RouterHarness harness(settings);
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const std::int64_t now = harness.clock.Now() / 1000;
+  const RequestId id = harness.Submit("leaves", 20'000'000, now - 1000);
+  const RequestId stays = harness.Submit("stays", 20'000'000, now - 1000);
+  EXPECT_EQ(harness.dispatcher.counters().attempts, 0u);
+  harness.Disconnect(id);
+  harness.dispatcher.ApplyPeerUpdate(harness.clock.Now(),
+                                     ServerUpdate{"a", Role::kReplica, harness.clock.Now(), now - 500});
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  server.CompleteStartup(0);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "stays"); }));
+  server.Send(0, Row("v"));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsServed(stays); }));
+  EXPECT_EQ(harness.dispatcher.counters().attempts, 1u);
 }
 
 // Guards against a large statement that gets its room, and is read and sent, after its client has left: while
@@ -188,7 +188,7 @@
 TEST_F(Leaving, WhileItWaitsForRoomForALargeStatement) {
   asio::io_context io;
   LoopClock clock;
-  Dispatcher dispatcher({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
+  Dispatcher dispatcher({RouterHarness::SingleClassSettings(Effect::kUnsafe), 1, {}, {}, 1'000'000});
   dispatcher.Start(clock.Now(), EndpointList{1, true, {}});
   const Service service;
   ClientFront front(io, clock, dispatcher, service, {Loopback(0), {100, 100, 100, 1 << 20, 1 << 20}});
