--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -6,10 +6,18 @@
 namespace tulipyoke {
 namespace {
 
-// A request that the module has not answered gets its response from the Dispatcher within this part of the
-// answer slack.
+// A request that the module leaves unanswered gets its response from the Dispatcher after half of the answer
+// slack, so that the response still reaches the client within the slack.
 constexpr Micros kOverdueSlackDivisor = 2;
 
+// The age of a session's last write in milliseconds; never 0, which would mean that there is none.
+double WriteAgeMs(Micros now, std::int64_t written_unix_ms) {
+  constexpr double kMicrosPerMs = 1e3;
+  constexpr double kLeastAgeMs = 0.001;
+  return std::max(kLeastAgeMs,
+                  static_cast<double>(now) / kMicrosPerMs - static_cast<double>(written_unix_ms));
+}
+
 std::vector<ClassStatistics> StatisticsFor(const std::vector<ClassSettings>& classes) {
   std::vector<ClassStatistics> statistics;
   for (const ClassSettings& of_class : classes) statistics.push_back({of_class.name});
@@ -75,10 +83,7 @@
   event.key = request.key;
   event.remaining = deadline - now;
   event.repeat = request.repeat;
-  if (request.after_unix_ms) {
-    event.wrote_ms_ago =
-        std::max(0.001, static_cast<double>(now) / 1e3 - static_cast<double>(*request.after_unix_ms));
-  }
+  if (request.after_unix_ms) event.wrote_ms_ago = WriteAgeMs(now, *request.after_unix_ms);
   DeliverEvent(now, event);
   return id;
 }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -80,8 +80,8 @@
   std::vector<ServerUpdate> ServerSnapshot() const { return replication_.Servers(); }
   void ApplyPeerUpdate(Micros now, const SessionUpdate& update);
   void ApplyPeerUpdate(Micros now, const ServerUpdate& update);
-  // Until the peer's sessions are known, and for good once they are lost, a session without a known commit is
-  // not taken for one that has written nothing.
+  // Until the peer's sessions are known, and for good once they are lost, a session without a known commit
+  // may still have written.
   void SetSessionsKnown(Micros now, SessionsKnown known) { DeliverEvent(now, known); }
 
   // Runs the timers that have expired.
--- a/src/dispatch/endpoint_directory.hpp
+++ b/src/dispatch/endpoint_directory.hpp
@@ -2,7 +2,6 @@
 #ifndef TULIPYOKE_SRC_DISPATCH_ENDPOINT_DIRECTORY_HPP_
 #define TULIPYOKE_SRC_DISPATCH_ENDPOINT_DIRECTORY_HPP_
 
-#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,14 +34,14 @@
   std::optional<ServerId> Find(const std::string& id) const;
   // The id of the server in the lists, or "-" for one that has left them.
   std::string IdOf(ServerId server) const;
-  // Records that the peer process is told this role; returns the server's id if it was told another one.
+  // Records the role that the peer process is told; returns the server's id if the role is a new one.
   std::optional<std::string> RecordReplicatedRole(ServerId server, Role role);
   const Entries& entries() const { return entries_; }
 
  private:
   void RemoveUnlisted(const EndpointList& list, std::vector<Command>& commands);
   Entry& FindOrAdd(const std::string& id);
-  // Where the server's state and address ask for it.
+  // Issues SetAddress or RemoveServer if the server's state or address calls for it.
   static void UpdateServerSide(Entry& entry, const ListedServer& listed, std::vector<Command>& commands);
   ListEntry ToModuleEntry(const ListedServer& listed, ServerId server) const;
 
--- a/src/dispatch/in_flight_table.hpp
+++ b/src/dispatch/in_flight_table.hpp
@@ -3,7 +3,6 @@
 #define TULIPYOKE_SRC_DISPATCH_IN_FLIGHT_TABLE_HPP_
 
 #include <compare>
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
--- a/src/dispatch/peer_replication.cpp
+++ b/src/dispatch/peer_replication.cpp
@@ -1,11 +1,12 @@
 #include "src/dispatch/peer_replication.hpp"
 
+#include <cstdint>
 #include <utility>
 
 namespace tulipyoke {
 namespace {
 
-constexpr std::uint64_t kAllSessions = 0;
+constexpr std::uint64_t kAllSessions = 0;  // in place of a session key, for Router::sessions
 
 void PushFront(std::vector<Command>& commands, PeerUpdate update) {
   commands.insert(commands.begin(), ReplicateToPeer{std::move(update)});
--- a/tests/dispatch/session_consistency_test.cpp
+++ b/tests/dispatch/session_consistency_test.cpp
@@ -8,7 +8,7 @@
 namespace tulipyoke {
 namespace {
 
-// Guards against a read that is taken for newer than it is: positions are rounded down, commits up, to the
+// Guards against a read that counts as newer than it is: positions are rounded down, commits up, to the
 // origin.
 TEST(SessionConsistency, ACommitIsRoundedUpAndASessionReadWaitsForIt) {
   Settings settings = TestSettings();
