--- a/adapter/settings_parser.cpp
+++ b/adapter/settings_parser.cpp
@@ -20,7 +20,7 @@
     table.insert_or_assign(std::string(line.substr(0, equals)), std::string(line.substr(equals + 1)));
   }
   try {
-    return SettingsFrom(table);
+    return SettingsFromTable(table);
   } catch (const SettingsError& error) {
     throw FormatError(error.what());
   }
--- a/bench/dnssd_bench.cpp
+++ b/bench/dnssd_bench.cpp
@@ -73,7 +73,7 @@
       const auto begun = std::chrono::steady_clock::now();
       browser->Tick(kSecond);
       if (const auto listing = browser->TakeListing()) {
-        members->Heard(kSecond, 0, *listing);
+        members->ApplyListing(kSecond, 0, *listing);
         told = true;
       }
       benchmark::DoNotOptimize(members->TakeListing());
@@ -172,7 +172,7 @@
     browser.Settle(kSecond, {browser.TakeAsks().at(0).id, 0, dnssd::Trouble::kNone, messages});
     std::optional<Listing> listing;
     while (!(listing = browser.TakeListing())) browser.Tick(kSecond);
-    members.Heard(kSecond, 0, *listing);
+    members.ApplyListing(kSecond, 0, *listing);
     members.TakeListing();
     bytes = static_cast<double>(mallinfo2().uordblks - before);
   }
--- a/fuzz/dnssd_fuzz.cpp
+++ b/fuzz/dnssd_fuzz.cpp
@@ -61,7 +61,7 @@
       for (const ListedServer& server : listing->servers) {
         Require(!server.id.empty() && !server.address.empty() && server.capacity_hint > 0);
       }
-      members.Heard(now, 0, *listing);
+      members.ApplyListing(now, 0, *listing);
     }
     members.Tick(now);
     members.TakeListing();
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -8,8 +8,8 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "src/config/checked.hpp"
 #include "src/config/config.hpp"
+#include "src/config/config_error.hpp"
 #include "src/log/log.hpp"
 #include "src/net/directory.hpp"
 #include "src/net/node.hpp"
@@ -21,18 +21,18 @@
   return state == ServerState::kReady ? "in service" : state == ServerState::kDraining ? "draining" : "gone";
 }
 
-DirectoryConfig ZonesOf(const Browse& browse) {
+MembershipConfig ZonesOf(const Browse& browse) {
   if (browse.file.empty()) {
     nlohmann::json source{{"type", "dns-sd"},
                           {"zone", browse.zone},
                           {"service", browse.service},
                           {"mode", browse.mode},
                           {"resolvers", browse.resolvers}};
-    return DirectoryFrom({{"sources", {source}}}, "command line", Settings());
+    return ParseMembershipConfig({{"sources", {source}}}, "command line", Settings());
   }
-  DirectoryConfig config = ParseConfig(ReadFile(browse.file)).directory;
+  MembershipConfig config = ParseConfig(ReadFile(browse.file)).membership;
   std::erase_if(config.sources, [&](const SourceConfig& source) {
-    return source.kind != SourceConfig::Kind::kDns ||
+    return source.kind != SourceConfig::Kind::kDnsSd ||
            (!browse.source.empty() && source.name != browse.source);
   });
   if (!config.on()) throw std::runtime_error("the configuration names no such DNS-SD source");
@@ -66,10 +66,10 @@
 int CheckConfig(const std::string& file, std::ostream& out) {
   try {
     const Config config = ParseConfig(ReadFile(file));
-    CheckComplete(config);
-    out << file << ": " << config.settings.classes.size() << " classes, " << config.known.servers.size()
-        << " known servers, " << (config.directory.on() ? config.directory.sources.size() : 1)
-        << " sources of servers\n";
+    ValidateForStart(config);
+    out << file << ": " << config.settings.classes.size() << " classes, "
+        << config.cached_listing.servers.size() << " known servers, "
+        << (config.membership.on() ? config.membership.sources.size() : 1) << " sources of servers\n";
     return 0;
   } catch (const std::exception& error) {
     out << file << ": " << error.what() << "\n";
@@ -81,7 +81,7 @@
   try {
     asio::io_context io;
     net::LoopClock clock;
-    const DirectoryConfig config = ZonesOf(browse);
+    const MembershipConfig config = ZonesOf(browse);
     const Micros start = clock.Now();
     bool told = false;
     net::Directory directory(io, clock, config, [&](const Listing& listing) {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,7 +8,7 @@
 #include <sstream>
 #include <stdexcept>
 
-#include "src/config/checked.hpp"
+#include "src/config/json_object_reader.hpp"
 #include "src/config/listing_json.hpp"
 #include "src/config/settings.hpp"
 
@@ -70,36 +70,36 @@
   try {
     Config config;
     config.name = json.value("name", "");
-    config.listen = json.value("listen", "");
-    config.discovery = json.value("discovery", "");
-    config.operators = json.value("operator", "");
+    config.listen_address = json.value("listen", "");
+    config.discovery_address = json.value("discovery", "");
+    config.admin_address = json.value("operator", "");
     if (json.contains("seed")) config.seed = ParseSeed(json.at("seed"));
     const Json limits = json.value("limits", Json::object());
     config.memory_bytes =
         static_cast<std::size_t>(limits.value("memory_mb", static_cast<double>(kDefaultMemoryMb))) << 20;
-    config.sockets = limits.value("sockets", kDefaultSockets);
-    if (config.sockets < kLeastSockets) {
+    config.max_sockets = limits.value("sockets", kDefaultSockets);
+    if (config.max_sockets < kLeastSockets) {
       throw std::runtime_error("limits.sockets is under " + std::to_string(kLeastSockets));
     }
-    if (json.contains("known")) config.known = ListingFrom(json.at("known"));
+    if (json.contains("known")) config.cached_listing = ListingFromJson(json.at("known"));
     const Json& settings = json.at("settings");
     SettingsTable table;
     Flatten("", settings, table);
-    config.settings = SettingsFrom(table);
+    config.settings = SettingsFromTable(table);
     if (config.settings.classes.empty()) throw std::runtime_error("settings name no class of requests");
-    config.zones = Names(settings, "failure_domains");
+    config.failure_domains = Names(settings, "failure_domains");
     config.kinds = Names(settings, "kinds");
     const Json policy = settings.value("policy_limits", Json::object());
     config.connect_timeout = policy.value("connect_timeout", kDefaultConnectTimeout);
     config.idle_close = policy.value("idle_close", kDefaultIdleClose);
     config.max_open = static_cast<std::size_t>(std::max(0.0, policy.value("max_open", 0.0)));
     if (json.contains("membership")) {
-      config.directory = DirectoryFrom(json.at("membership"), "membership", config.settings);
+      config.membership = ParseMembershipConfig(json.at("membership"), "membership", config.settings);
       // What the list last was is the registry's word; without it nobody would ever take it back.
-      if (config.directory.registry() < 0) config.known = Listing();
+      if (!config.membership.RegistryIndex()) config.cached_listing = Listing();
     }
     if (json.contains("log")) {
-      CheckedObject log(json.at("log"), "log");
+      JsonObjectReader log(json.at("log"), "log");
       config.log_json = log.Choice("form", {"text", "json"}, 0) == 1;
       log.Done();
     }
@@ -124,11 +124,11 @@
   return text.str();
 }
 
-void CheckComplete(const Config& config) {
-  SplitAddress(config.listen);
+void ValidateForStart(const Config& config) {
+  ParseHostPort(config.listen_address);
   // The registry's address is wanted where the registry is a source.
-  if (!config.directory.on() || config.directory.registry() >= 0) SplitAddress(config.discovery);
-  if (!config.operators.empty()) SplitAddress(config.operators);
+  if (!config.membership.on() || config.membership.RegistryIndex()) ParseHostPort(config.discovery_address);
+  if (!config.admin_address.empty()) ParseHostPort(config.admin_address);
 }
 
 Config LoadConfig() {
@@ -138,23 +138,25 @@
     if (given && *given) value = given;
   };
   prevail("LB_NAME", config.name);
-  prevail("LB_LISTEN", config.listen);
-  prevail("LB_DISCOVERY", config.discovery);
-  prevail("LB_OPERATOR", config.operators);
+  prevail("LB_LISTEN", config.listen_address);
+  prevail("LB_DISCOVERY", config.discovery_address);
+  prevail("LB_OPERATOR", config.admin_address);
   std::string held;
   prevail("LB_ACCEPT_FD", held);
-  prevail("TMPDIR", config.temporary);
+  prevail("TMPDIR", config.shared_directory);
   if (!held.empty()) {
-    const auto [end, error] = std::from_chars(held.data(), held.data() + held.size(), config.accept_fd);
-    if (error != std::errc() || end != held.data() + held.size() || config.accept_fd < 0) {
+    int descriptor = 0;
+    const auto [end, error] = std::from_chars(held.data(), held.data() + held.size(), descriptor);
+    if (error != std::errc() || end != held.data() + held.size() || descriptor < 0) {
       throw std::runtime_error("LB_ACCEPT_FD is no descriptor: " + held);
     }
+    config.accept_fd = descriptor;
   }
-  CheckComplete(config);
+  ValidateForStart(config);
   return config;
 }
 
-HostPort SplitAddress(const std::string& address) {
+HostPort ParseHostPort(const std::string& address) {
   const std::size_t colon = address.rfind(':');
   HostPort result;
   if (colon != std::string::npos && colon > 0) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -4,38 +4,45 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "src/config/directory_config.hpp"
+#include "src/config/membership_config.hpp"
 #include "src/exchange/listing.hpp"
 #include "tulipyoke/router.hpp"
 
 namespace tulipyoke {
 
+// The complete configuration of the program.
 struct Config {
-  std::string name, listen, discovery;
-  std::string operators;  // where the operators' door listens; empty: there is none
+  std::string name;               // of this instance
+  std::string listen_address;     // where clients connect
+  std::string discovery_address;  // of the platform's server registry
+  std::string admin_address;      // of the operators' HTTP interface; empty: there is none
   std::uint64_t seed = 0;
   std::size_t memory_bytes = 0;
-  int sockets = 0;
-  int accept_fd = -1;     // the clients' listening socket where the platform holds it; -1: it does not
-  std::string temporary;  // a folder that all processes of this router share; empty: none is known
-  Listing known;
+  int max_sockets = 0;
+  // The clients' listening socket where the platform holds it open.
+  std::optional<int> accept_fd;
+  std::string shared_directory;  // common to all processes of this router; empty: none is known
+  Listing cached_listing;        // the servers as the registry last listed them
   Settings settings;
-  std::vector<std::string> zones, kinds;
-  Micros connect_timeout = 0, idle_close = 0;
+  std::vector<std::string> failure_domains;
+  std::vector<std::string> kinds;  // of servers
+  Micros connect_timeout = 0;
+  Micros idle_close = 0;  // server connections that were idle for so long are closed
   std::size_t max_open = 0;
-  DirectoryConfig directory;  // off: the registry alone
-  bool log_json = false;      // log: {"form": "json"}
-  bool trace = false;         // run --trace: a line for each step of each request
+  MembershipConfig membership;  // off: the registry alone
+  bool log_json = false;        // log: {"form": "json"}
+  bool trace = false;           // run --trace: a line for each step of each request
 };
 
 // Throws std::runtime_error in plain words.
 Config ParseConfig(std::string_view text);
 // As a start would find it: what must be there is, and addresses are some.
-void CheckComplete(const Config& config);
+void ValidateForStart(const Config& config);
 std::string ReadFile(const std::string& path);
 // Reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_OPERATOR prevail where they
 // are set, and LB_ACCEPT_FD and TMPDIR are told nowhere else.
@@ -49,7 +56,7 @@
   std::uint16_t port = 0;
 };
 // Throws std::runtime_error where it is no address and port.
-HostPort SplitAddress(const std::string& address);
+HostPort ParseHostPort(const std::string& address);
 
 }  // namespace tulipyoke
 
--- a/src/config/checked.hpp
+++ b/src/config/json_object_reader.hpp
@@ -1,30 +1,24 @@
 // Reads settings out of JSON and says where what is wrong stands: `membership.sources[1].look_ms: must be
 // ...`.
-#ifndef TULIPYOKE_SRC_CONFIG_CHECKED_HPP_
-#define TULIPYOKE_SRC_CONFIG_CHECKED_HPP_
+#ifndef TULIPYOKE_SRC_CONFIG_JSON_OBJECT_READER_HPP_
+#define TULIPYOKE_SRC_CONFIG_JSON_OBJECT_READER_HPP_
 
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <set>
-#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
 
-namespace tulipyoke {
+#include "src/config/config_error.hpp"
 
-// What is wrong with a configuration, in plain words behind the path of the place.
-class ConfigError : public std::runtime_error {
- public:
-  ConfigError(const std::string& path, const std::string& reason)
-      : std::runtime_error((path.empty() ? "the configuration" : path) + ": " + reason) {}
-};
+namespace tulipyoke {
 
 // One object of the configuration. Every key must be asked for; Done refuses the others, since a key that is
 // passed over is a setting that its author believes in.
-class CheckedObject {
+class JsonObjectReader {
  public:
-  CheckedObject(const nlohmann::json& json, std::string path);
+  JsonObjectReader(const nlohmann::json& json, std::string path);
 
   const std::string& path() const { return path_; }
   std::string At(const std::string& key) const;
@@ -42,7 +36,7 @@
   // For each item of a list, with its path; an absent list has none.
   void Each(const std::string& key,
             const std::function<void(const nlohmann::json&, const std::string&)>& use);
-  CheckedObject Object(const std::string& key);  // an absent one is empty
+  JsonObjectReader Object(const std::string& key);  // an absent one is empty
   const nlohmann::json* Raw(const std::string& key);
   void Done() const;
   [[noreturn]] void Fail(const std::string& key, const std::string& reason) const;
@@ -57,4 +51,4 @@
 
 }  // namespace tulipyoke
 
-#endif  // TULIPYOKE_SRC_CONFIG_CHECKED_HPP_
+#endif  // TULIPYOKE_SRC_CONFIG_JSON_OBJECT_READER_HPP_
--- a/src/config/listing_json.cpp
+++ b/src/config/listing_json.cpp
@@ -46,7 +46,7 @@
 
 }  // namespace
 
-Listing ListingFrom(const Json& json) {
+Listing ListingFromJson(const Json& json) {
   try {
     Listing listing;
     listing.version = json.at("revision").get<std::uint64_t>();
@@ -63,7 +63,7 @@
 Listing ParseListing(std::string_view text) {
   const Json json = Json::parse(text, nullptr, false);
   if (json.is_discarded()) throw std::runtime_error("no list of servers: not JSON");
-  return ListingFrom(json);
+  return ListingFromJson(json);
 }
 
 }  // namespace tulipyoke
--- a/src/config/listing_json.hpp
+++ b/src/config/listing_json.hpp
@@ -11,7 +11,7 @@
 
 // Both throw std::runtime_error in plain words where the text is no listing. Single entries that make no
 // sense are left out: one bad line must not hide the rest.
-Listing ListingFrom(const nlohmann::json& json);
+Listing ListingFromJson(const nlohmann::json& json);
 Listing ParseListing(std::string_view text);
 
 }  // namespace tulipyoke
--- a/src/config/directory_config.cpp
+++ b/src/config/membership_config.cpp
@@ -1,10 +1,10 @@
-#include "src/config/directory_config.hpp"
+#include "src/config/membership_config.hpp"
 
 #include <algorithm>
 #include <set>
 
-#include "src/config/checked.hpp"
 #include "src/config/config.hpp"
+#include "src/config/json_object_reader.hpp"
 #include "src/config/listing_json.hpp"
 
 namespace tulipyoke {
@@ -18,8 +18,8 @@
 // A drained server stays listed for its last requests and the grace, and a little more.
 constexpr Micros kLingerMargin = 1'000'000;
 
-DnsSource DnsFrom(CheckedObject& object) {
-  DnsSource dns;
+DnsSdSource DnsFrom(JsonObjectReader& object) {
+  DnsSdSource dns;
   dns.zone.service = object.Text("service", dns.zone.service);
   dns.zone.zone = object.Text("zone");
   if (!dnssd::IsName(dns.zone.service)) object.Fail("service", "is no service such as _readings._tcp");
@@ -46,7 +46,7 @@
   }
   for (std::size_t i = 0; i < dns.resolvers.size(); ++i) {
     try {
-      SplitAddress(dns.resolvers[i]);
+      ParseHostPort(dns.resolvers[i]);
     } catch (const std::runtime_error& error) {
       object.Fail("resolvers[" + std::to_string(i) + "]", error.what());
     }
@@ -59,38 +59,39 @@
 }
 
 SourceConfig SourceFrom(const Json& json, const std::string& path) {
-  CheckedObject object(json, path);
+  JsonObjectReader object(json, path);
   SourceConfig source;
   source.kind =
       static_cast<SourceConfig::Kind>(object.Choice("type", {"registry", "static", "dns-sd"}, kMostSources));
   if (static_cast<std::size_t>(source.kind) == kMostSources) object.Fail("type", "is missing");
-  if (source.kind == SourceConfig::Kind::kDns) source.dns = DnsFrom(object);
+  if (source.kind == SourceConfig::Kind::kDnsSd) source.dns_sd = DnsFrom(object);
   if (source.kind == SourceConfig::Kind::kStatic) {
     const Json* members = object.Raw("members");
     if (!members || !members->is_array()) object.Fail("members", "must be a list of servers");
-    source.fixed = ListingFrom(Json{{"revision", 1}, {"complete", true}, {"members", *members}});
-    if (source.fixed.servers.size() != members->size()) object.Fail("members", "holds an entry that is none");
+    source.static_listing = ListingFromJson(Json{{"revision", 1}, {"complete", true}, {"members", *members}});
+    if (source.static_listing.servers.size() != members->size())
+      object.Fail("members", "holds an entry that is none");
   }
-  const char* usual = source.kind == SourceConfig::Kind::kDns ? "" : "registry";
+  const char* usual = source.kind == SourceConfig::Kind::kDnsSd ? "" : "registry";
   source.name = object.Text("name", source.kind == SourceConfig::Kind::kStatic ? "static"
                                     : *usual                                   ? usual
-                                                                               : source.dns.zone.zone);
+                                                                               : source.dns_sd.zone.zone);
   object.Done();
   return source;
 }
 
 }  // namespace
 
-int DirectoryConfig::registry() const {
+std::optional<std::size_t> MembershipConfig::RegistryIndex() const {
   for (std::size_t i = 0; i < sources.size(); ++i) {
-    if (sources[i].kind == SourceConfig::Kind::kRegistry) return static_cast<int>(i);
+    if (sources[i].kind == SourceConfig::Kind::kRegistry) return i;
   }
-  return -1;
+  return std::nullopt;
 }
 
-DirectoryConfig DirectoryFrom(const Json& json, const std::string& path, const Settings& settings) {
-  CheckedObject object(json, path);
-  DirectoryConfig config;
+MembershipConfig ParseMembershipConfig(const Json& json, const std::string& path, const Settings& settings) {
+  JsonObjectReader object(json, path);
+  MembershipConfig config;
   std::set<std::string> names;
   bool registry = false;
   object.Each("sources", [&](const Json& item, const std::string& at) {
@@ -105,25 +106,30 @@
   if (config.sources.empty() || config.sources.size() > kMostSources) {
     object.Fail("sources", "must name 1 to " + std::to_string(kMostSources) + " sources");
   }
-  membership::Options& options = config.membership;
+  membership::Options& options = config.options;
   Micros longest = settings.drain_grace;
   for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
-  options.linger = std::max(options.linger, longest + kLingerMargin);
-  if (settings.warm_after > 0) options.warm_after = settings.warm_after;
-  options.linger = object.Millis("linger_ms", options.linger, static_cast<double>(longest) / 1e3, kHourMs);
-  options.memory = object.Millis("memory_ms", options.memory, 0, 24 * kHourMs);
-  options.most_servers = object.Count("most_servers", options.most_servers, 1, 1'000'000);
-  CheckedObject flapping = object.Object("flapping");
-  options.flapping.hold_over = flapping.Number("hold_over", options.flapping.hold_over, 1, 1000);
-  options.flapping.free_under =
-      flapping.Number("free_under", options.flapping.free_under, 0.01, options.flapping.hold_over);
-  options.flapping.most = flapping.Number("most", options.flapping.most, options.flapping.hold_over, 1000);
-  options.flapping.half_life = flapping.Millis("half_life_ms", options.flapping.half_life, 100, kHourMs);
+  options.removal_delay = std::max(options.removal_delay, longest + kLingerMargin);
+  if (settings.warm_after > 0) options.warm_up_time = settings.warm_after;
+  options.removal_delay =
+      object.Millis("linger_ms", options.removal_delay, static_cast<double>(longest) / 1e3, kHourMs);
+  options.retention = object.Millis("memory_ms", options.retention, 0, 24 * kHourMs);
+  options.max_servers = object.Count("most_servers", options.max_servers, 1, 1'000'000);
+  JsonObjectReader flapping = object.Object("flapping");
+  options.flap_damping.suppress_threshold =
+      flapping.Number("hold_over", options.flap_damping.suppress_threshold, 1, 1000);
+  options.flap_damping.reuse_threshold = flapping.Number("free_under", options.flap_damping.reuse_threshold,
+                                                         0.01, options.flap_damping.suppress_threshold);
+  options.flap_damping.max_penalty = flapping.Number("most", options.flap_damping.max_penalty,
+                                                     options.flap_damping.suppress_threshold, 1000);
+  options.flap_damping.half_life =
+      flapping.Millis("half_life_ms", options.flap_damping.half_life, 100, kHourMs);
   flapping.Done();
-  CheckedObject admission = object.Object("admission");
+  JsonObjectReader admission = object.Object("admission");
   options.admission.burst = admission.Number("burst", options.admission.burst, 1, 10'000);
-  options.admission.per_s = admission.Number("per_s", options.admission.per_s, 0.01, 10'000);
-  options.admission.needy = admission.Count("needy", options.admission.needy, 0, 1000);
+  options.admission.rate_per_second =
+      admission.Number("per_s", options.admission.rate_per_second, 0.01, 10'000);
+  options.admission.min_in_service = admission.Count("needy", options.admission.min_in_service, 0, 1000);
   admission.Done();
   object.Done();
   return config;
--- a/src/config/directory_config.hpp
+++ b/src/config/membership_config.hpp
@@ -1,9 +1,10 @@
 // The part of the configuration that says where the list of servers comes from: `membership`. Without it the
 // platform's registry is the one source, and its word is passed on as it comes.
-#ifndef TULIPYOKE_SRC_CONFIG_DIRECTORY_CONFIG_HPP_
-#define TULIPYOKE_SRC_CONFIG_DIRECTORY_CONFIG_HPP_
+#ifndef TULIPYOKE_SRC_CONFIG_MEMBERSHIP_CONFIG_HPP_
+#define TULIPYOKE_SRC_CONFIG_MEMBERSHIP_CONFIG_HPP_
 
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,30 +16,31 @@
 
 namespace tulipyoke {
 
-struct DnsSource {
+struct DnsSdSource {
   dnssd::ZoneOptions zone;
   dnssd::RetryOptions retries;
   std::vector<std::string> resolvers;  // addresses with ports
 };
 struct SourceConfig {
-  enum class Kind { kRegistry, kStatic, kDns };
+  enum class Kind { kRegistry, kStatic, kDnsSd };
   std::string name;
   Kind kind = Kind::kRegistry;
-  Listing fixed;  // of a static source
-  DnsSource dns;
+  Listing static_listing;  // of a static source
+  DnsSdSource dns_sd;
 };
-struct DirectoryConfig {
+struct MembershipConfig {
   std::vector<SourceConfig> sources;  // in the order of their weight; empty: this is off
-  membership::Options membership;
+  membership::Options options;
 
   bool on() const { return !sources.empty(); }
-  // The registry's place among the sources; -1: it is none.
-  int registry() const;
+  // The registry's place among the sources; none where it is not a source.
+  std::optional<std::size_t> RegistryIndex() const;
 };
 
 // Throws ConfigError with the path of what is wrong.
-DirectoryConfig DirectoryFrom(const nlohmann::json& json, const std::string& path, const Settings& settings);
+MembershipConfig ParseMembershipConfig(const nlohmann::json& json, const std::string& path,
+                                       const Settings& settings);
 
 }  // namespace tulipyoke
 
-#endif  // TULIPYOKE_SRC_CONFIG_DIRECTORY_CONFIG_HPP_
+#endif  // TULIPYOKE_SRC_CONFIG_MEMBERSHIP_CONFIG_HPP_
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -105,7 +105,7 @@
 
 }  // namespace
 
-Settings SettingsFrom(const SettingsTable& table) {
+Settings SettingsFromTable(const SettingsTable& table) {
   const Table pairs(table);
   Settings s;
   const std::vector<std::string> freshness = pairs.List("domain.freshness");
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -21,7 +21,7 @@
 using SettingsTable = std::map<std::string, std::string>;
 
 // Unknown paths are skipped; a value that its path cannot have throws SettingsError.
-Settings SettingsFrom(const SettingsTable& table);
+Settings SettingsFromTable(const SettingsTable& table);
 
 }  // namespace tulipyoke
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -8,25 +8,25 @@
 
 constexpr Micros kMillisecond = 1000;
 
-// A start that is not told, of a server that stood there when its source was first heard.
-constexpr std::int64_t kLongAgoMs = 1;
+// A start that is not published, of a server that stood there when its source was first heard.
+constexpr std::int64_t kLongRunningStartMs = 1;
 
-bool Names(Word word) { return word == Word::kReady || word == Word::kDraining; }
-bool Drains(Word word) { return word == Word::kVanished || word == Word::kDraining; }
+bool Announces(SourceState state) { return state == SourceState::kReady || state == SourceState::kDraining; }
+bool Drains(SourceState state) { return state == SourceState::kVanished || state == SourceState::kDraining; }
 
 }  // namespace
 
 const char* ToText(Reason reason) {
   switch (reason) {
-    case Reason::kReady:
+    case Reason::kInService:
       return "in service";
-    case Reason::kWaiting:
+    case Reason::kAwaitingAdmission:
       return "waits to be let in";
-    case Reason::kTold:
+    case Reason::kTerminating:
       return "terminating";
     case Reason::kVanished:
       return "vanished";
-    case Reason::kHeldDown:
+    case Reason::kSuppressed:
       return "held down for flapping";
   }
   return "";
@@ -35,295 +35,303 @@
 Membership::Membership(const Options& options, std::vector<std::string> sources)
     : options_(options),
       sources_(std::move(sources)),
-      heard_(sources_.size(), false),
+      source_has_list_(sources_.size(), false),
       admission_(options.admission) {}
 
-void Membership::Heard(Micros now, std::size_t source, const Listing& listing) {
-  Read(now, source, listing);
-  heard_[source] = true;
+void Membership::ApplyListing(Micros now, std::size_t source, const Listing& listing) {
+  Merge(now, source, listing);
+  source_has_list_[source] = true;
   Tick(now);
 }
 
-void Membership::Remember(Micros now, std::size_t source, const Listing& listing) {
-  Read(now, source, listing);
+void Membership::RestoreListing(Micros now, std::size_t source, const Listing& listing) {
+  Merge(now, source, listing);
 }
 
-void Membership::Read(Micros now, std::size_t source, const Listing& listing) {
+void Membership::Merge(Micros now, std::size_t source, const Listing& listing) {
   if (listing.complete) {
     std::set<std::string> named;
     for (const ListedServer& listed : listing.servers) {
       if (listed.state != ServerState::kGone) named.insert(listed.id);
     }
     for (Entry& entry : servers_) {
-      if (Names(entry.second.claims[source].word) && !named.contains(entry.first)) Vanish(now, source, entry);
+      if (Announces(entry.second.records[source].state) && !named.contains(entry.first))
+        ApplyRemoval(now, source, entry);
     }
   }
   for (const ListedServer& listed : listing.servers) {
     if (listed.state != ServerState::kGone) {
-      Take(now, source, listed);
+      ApplyAnnouncement(now, source, listed);
     } else if (const auto it = servers_.find(listed.id); it != servers_.end()) {
-      if (Names(it->second.claims[source].word)) Vanish(now, source, *it);
+      if (Announces(it->second.records[source].state)) ApplyRemoval(now, source, *it);
     }
   }
 }
 
-void Membership::Dropped(Micros now, std::size_t source) {
+void Membership::RemoveSource(Micros now, std::size_t source) {
   for (Entry& entry : servers_) {
-    Claim& claim = entry.second.claims[source];
-    if (claim.word == Word::kNothing) continue;
+    SourceRecord& record = entry.second.records[source];
+    if (record.state == SourceState::kUnknown) continue;
     // Who nobody else names has lost its last word for service, which is no reason to serve on there.
-    claim = Names(claim.word) && !std::any_of(entry.second.claims.begin(), entry.second.claims.end(),
-                                              [&](const Claim& c) { return &c != &claim && Names(c.word); })
-                ? Claim{Word::kVanished, claim.listed, now}
-                : Claim();
-    Judge(now, entry);
+    record = Announces(record.state) &&
+                     !std::any_of(entry.second.records.begin(), entry.second.records.end(),
+                                  [&](const SourceRecord& c) { return &c != &record && Announces(c.state); })
+                 ? SourceRecord{SourceState::kVanished, record.listed, now}
+                 : SourceRecord();
+    Evaluate(now, entry);
   }
-  heard_[source] = false;
+  source_has_list_[source] = false;
   Tick(now);
 }
 
-void Membership::Take(Micros now, std::size_t source, const ListedServer& listed) {
-  if (!servers_.contains(listed.id) && servers_.size() >= options_.most_servers) {
-    ++counters_.over;
+void Membership::ApplyAnnouncement(Micros now, std::size_t source, const ListedServer& listed) {
+  if (!servers_.contains(listed.id) && servers_.size() >= options_.max_servers) {
+    ++counters_.over_limit;
     return;
   }
   Entry& entry = *servers_.try_emplace(listed.id).first;
   Server& server = entry.second;
-  const bool fresh = server.claims.empty();
-  server.claims.resize(sources_.size());
-  Claim& claim = server.claims[source];
-  const Word before = claim.word;
-  const Word word = listed.state == ServerState::kReady ? Word::kReady : Word::kDraining;
-  if (word != before) claim.since = now;
-  claim.word = word;
-  claim.listed = listed;
-  NoteProcess(now, source, server, before);
+  const bool first_seen = server.records.empty();
+  server.records.resize(sources_.size());
+  SourceRecord& record = server.records[source];
+  const SourceState before = record.state;
+  const SourceState state =
+      listed.state == ServerState::kReady ? SourceState::kReady : SourceState::kDraining;
+  if (state != before) record.since = now;
+  record.state = state;
+  record.listed = listed;
+  DetectRestart(now, source, server, before);
   // What a source knew from the start has served for a while unless it says otherwise; the rest waits.
-  const bool started_now = server.started_ms * kMillisecond > now - options_.warm_after;
-  if (fresh && !heard_[source] && !started_now) {
-    server.let_in = true;
-    if (server.started_ms == 0) server.started_ms = kLongAgoMs;
+  const bool started_now = server.start_ms * kMillisecond > now - options_.warm_up_time;
+  if (first_seen && !source_has_list_[source] && !started_now) {
+    server.admitted = true;
+    if (server.start_ms == 0) server.start_ms = kLongRunningStartMs;
   }
-  if (before == Word::kVanished && word == Word::kReady) ++counters_.returned;
-  Judge(now, entry);
+  if (before == SourceState::kVanished && state == SourceState::kReady) ++counters_.returned;
+  Evaluate(now, entry);
 }
 
-void Membership::Vanish(Micros now, std::size_t source, Entry& entry) {
-  Claim& claim = entry.second.claims[source];
+void Membership::ApplyRemoval(Micros now, std::size_t source, Entry& entry) {
+  SourceRecord& record = entry.second.records[source];
   // Who was draining was expected to go.
-  if (claim.word == Word::kReady && Vanished(options_.flapping, entry.second.flaps, now)) {
-    ++counters_.held_down;
+  if (record.state == SourceState::kReady &&
+      RecordWithdrawal(options_.flap_damping, entry.second.flap_history, now)) {
+    ++counters_.suppressed;
   }
-  claim.word = Word::kVanished;
-  claim.since = now;
+  record.state = SourceState::kVanished;
+  record.since = now;
   ++counters_.vanished;
-  Judge(now, entry);
+  Evaluate(now, entry);
 }
 
-const Membership::Claim* Membership::Placing(const Server& server) const {
-  const Claim* last = nullptr;
-  for (const Claim& claim : server.claims) {
-    if (Names(claim.word)) return &claim;
-    if (claim.word == Word::kVanished && (!last || claim.since > last->since)) last = &claim;
+const Membership::SourceRecord* Membership::AuthoritativeRecord(const Server& server) const {
+  const SourceRecord* last = nullptr;
+  for (const SourceRecord& record : server.records) {
+    if (Announces(record.state)) return &record;
+    if (record.state == SourceState::kVanished && (!last || record.since > last->since)) last = &record;
   }
   return last;
 }
 
-bool Membership::Named(const Server& server) const {
-  return std::any_of(server.claims.begin(), server.claims.end(),
-                     [](const Claim& claim) { return Names(claim.word); });
+bool Membership::IsAnnounced(const Server& server) const {
+  return std::any_of(server.records.begin(), server.records.end(),
+                     [](const SourceRecord& record) { return Announces(record.state); });
 }
 
 // A process that just started must not be taken for the warm one that had its name before: in doubt it is
 // new.
-void Membership::NoteProcess(Micros now, std::size_t source, Server& server, Word before) {
-  const Claim& claim = server.claims[source];
-  const Claim& placing = *Placing(server);
+void Membership::DetectRestart(Micros now, std::size_t source, Server& server, SourceState before) {
+  const SourceRecord& record = server.records[source];
+  const SourceRecord& authoritative = *AuthoritativeRecord(server);
   const bool known = !server.address.empty();
-  const bool moved = known && placing.listed.address != server.address;
-  if (claim.listed.started_unix_ms > server.told_started_ms) {
-    if (known && claim.listed.started_unix_ms > server.started_ms) ++counters_.restarts;
-    server.started_ms = std::max(server.started_ms, claim.listed.started_unix_ms);
-    server.told_started_ms = claim.listed.started_unix_ms;
+  const bool moved = known && authoritative.listed.address != server.address;
+  if (record.listed.started_unix_ms > server.announced_start_ms) {
+    if (known && record.listed.started_unix_ms > server.start_ms) ++counters_.restarts;
+    server.start_ms = std::max(server.start_ms, record.listed.started_unix_ms);
+    server.announced_start_ms = record.listed.started_unix_ms;
     // Another source's word that the former process has gone says nothing of this one.
-    for (Claim& other : server.claims) {
-      if (other.word == Word::kVanished && other.since <= server.told_started_ms * kMillisecond) {
-        other.word = Word::kNothing;
+    for (SourceRecord& other : server.records) {
+      if (other.state == SourceState::kVanished && other.since <= server.announced_start_ms * kMillisecond) {
+        other.state = SourceState::kUnknown;
       }
     }
-  } else if (moved || (before == Word::kVanished && claim.listed.started_unix_ms == 0)) {
+  } else if (moved || (before == SourceState::kVanished && record.listed.started_unix_ms == 0)) {
     ++counters_.restarts;
-    server.started_ms = now / kMillisecond;
+    server.start_ms = now / kMillisecond;
   }
   if (moved) ++counters_.moved;
-  server.address = placing.listed.address;
+  server.address = authoritative.listed.address;
 }
 
 // Holding down must not empty a set: where as many are held as are left, the flapping is not the servers'.
-bool Membership::HoldsDown(const Server& server) const {
-  if (!server.flaps.held) return false;
-  const auto count = groups_.find(Placing(server)->listed.group);
-  return count != groups_.end() && count->second.ready > count->second.held;
+bool Membership::IsSuppressed(const Server& server) const {
+  if (!server.flap_history.suppressed) return false;
+  const auto count = groups_.find(AuthoritativeRecord(server)->listed.group);
+  return count != groups_.end() && count->second.ready > count->second.suppressed;
 }
 
-Reason Membership::ReasonFor(const Server& server) const {
-  const auto says = [&](Word word) {
-    return std::any_of(server.claims.begin(), server.claims.end(),
-                       [&](const Claim& claim) { return claim.word == word; });
+Reason Membership::DecideReason(const Server& server) const {
+  const auto says = [&](SourceState state) {
+    return std::any_of(server.records.begin(), server.records.end(),
+                       [&](const SourceRecord& record) { return record.state == state; });
   };
-  if (says(Word::kVanished)) return Reason::kVanished;
-  if (says(Word::kDraining)) return Reason::kTold;
-  if (HoldsDown(server)) return Reason::kHeldDown;
-  return server.let_in ? Reason::kReady : Reason::kWaiting;
+  if (says(SourceState::kVanished)) return Reason::kVanished;
+  if (says(SourceState::kDraining)) return Reason::kTerminating;
+  if (IsSuppressed(server)) return Reason::kSuppressed;
+  return server.admitted ? Reason::kInService : Reason::kAwaitingAdmission;
 }
 
 void Membership::SetReason(Micros now, Server& server, Reason reason) {
   if (server.reason == reason && server.since != 0) return;
-  if (server.reason == Reason::kHeldDown) --groups_[server.held_in].held;
-  server.held_in = Placing(server)->listed.group;
-  if (reason == Reason::kHeldDown) ++groups_[server.held_in].held;
+  if (server.reason == Reason::kSuppressed) --groups_[server.suppressed_group].suppressed;
+  server.suppressed_group = AuthoritativeRecord(server)->listed.group;
+  if (reason == Reason::kSuppressed) ++groups_[server.suppressed_group].suppressed;
   server.reason = reason;
   server.since = now;
 }
 
-void Membership::Judge(Micros now, Entry& entry) {
+void Membership::Evaluate(Micros now, Entry& entry) {
   Server& server = entry.second;
-  Review(options_.flapping, server.flaps, now);
-  const Claim* placing = Placing(server);
-  if (!placing) {  // no source says anything of it any more
-    Tell(entry, std::nullopt);
-    Arm(entry, now);
+  UpdateSuppression(options_.flap_damping, server.flap_history, now);
+  const SourceRecord* authoritative = AuthoritativeRecord(server);
+  if (!authoritative) {  // no source says anything of it any more
+    Publish(entry, std::nullopt);
+    ScheduleWakeup(entry, now);
     return;
   }
-  const bool drained = std::any_of(server.claims.begin(), server.claims.end(),
-                                   [](const Claim& claim) { return Drains(claim.word); });
-  const bool ready = std::any_of(server.claims.begin(), server.claims.end(),
-                                 [](const Claim& claim) { return claim.word == Word::kReady; });
-  if (drained && ready && !server.disputed) ++counters_.disagreed;
-  server.disputed = drained && ready;
-
-  Reason reason = ReasonFor(server);
-  if (reason == Reason::kWaiting && server.told) {
+  const bool drained = std::any_of(server.records.begin(), server.records.end(),
+                                   [](const SourceRecord& record) { return Drains(record.state); });
+  const bool ready =
+      std::any_of(server.records.begin(), server.records.end(),
+                  [](const SourceRecord& record) { return record.state == SourceState::kReady; });
+  if (drained && ready && !server.conflicting) ++counters_.conflicts;
+  server.conflicting = drained && ready;
+
+  Reason reason = DecideReason(server);
+  if (reason == Reason::kAwaitingAdmission && server.published) {
     // It is on the list already, draining: coming back, it is no newcomer.
-    server.let_in = true;
-    reason = Reason::kReady;
+    server.admitted = true;
+    reason = Reason::kInService;
   }
   const Reason was = server.reason;
   SetReason(now, server, reason);
-  const int group = placing->listed.group;
-  if (server.queued_for >= 0 && (reason != Reason::kWaiting || server.queued_for != group)) {
-    admission_.Leave(entry.first, std::exchange(server.queued_for, -1));
+  const int group = authoritative->listed.group;
+  if (server.queued_group >= 0 && (reason != Reason::kAwaitingAdmission || server.queued_group != group)) {
+    admission_.Remove(entry.first, std::exchange(server.queued_group, -1));
   }
-  if (reason == Reason::kWaiting && server.queued_for < 0) {
-    admission_.Wait(entry.first, group);
-    server.queued_for = group;
+  if (reason == Reason::kAwaitingAdmission && server.queued_group < 0) {
+    admission_.Enqueue(entry.first, group);
+    server.queued_group = group;
   }
 
-  ListedServer listed = placing->listed;
-  listed.started_unix_ms = server.started_ms;
-  listed.state = reason == Reason::kReady ? ServerState::kReady : ServerState::kDraining;
+  ListedServer listed = authoritative->listed;
+  listed.started_unix_ms = server.start_ms;
+  listed.state = reason == Reason::kInService ? ServerState::kReady : ServerState::kDraining;
   if (reason != Reason::kVanished) {
-    server.away_since = 0;
-  } else if (server.away_since == 0 || was != Reason::kVanished) {
-    server.away_since = now;
+    server.vanished_at = 0;
+  } else if (server.vanished_at == 0 || was != Reason::kVanished) {
+    server.vanished_at = now;
   }
-  const bool lingers = reason != Reason::kVanished || now < server.away_since + options_.linger;
-  if (reason == Reason::kReady || (server.told && lingers)) {
-    Tell(entry, listed);
+  const bool still_listed = reason != Reason::kVanished || now < server.vanished_at + options_.removal_delay;
+  if (reason == Reason::kInService || (server.published && still_listed)) {
+    Publish(entry, listed);
   } else {
-    Tell(entry, std::nullopt);
+    Publish(entry, std::nullopt);
   }
   if (reason == Reason::kVanished) {
-    Arm(entry, server.away_since + (lingers ? options_.linger : options_.linger + options_.memory));
-  } else if (server.flaps.held) {
-    Arm(entry, std::max(now + 1, FreeAt(options_.flapping, server.flaps)));
+    ScheduleWakeup(entry, server.vanished_at + (still_listed ? options_.removal_delay
+                                                             : options_.removal_delay + options_.retention));
+  } else if (server.flap_history.suppressed) {
+    ScheduleWakeup(entry, std::max(now + 1, ReuseTime(options_.flap_damping, server.flap_history)));
   } else {
-    Arm(entry, 0);
+    ScheduleWakeup(entry, 0);
   }
 }
 
-void Membership::Tell(Entry& entry, std::optional<ListedServer> listed) {
+void Membership::Publish(Entry& entry, std::optional<ListedServer> listed) {
   Server& server = entry.second;
-  if (server.told == listed) return;
-  const auto count = [&](const std::optional<ListedServer>& told, int step) {
-    if (told && told->state == ServerState::kReady)
-      groups_[told->group].ready += static_cast<std::size_t>(step);
+  if (server.published == listed) return;
+  const auto count = [&](const std::optional<ListedServer>& published, int step) {
+    if (published && published->state == ServerState::kReady)
+      groups_[published->group].ready += static_cast<std::size_t>(step);
   };
   // Another set or another place: what the old one has shown, its position in the log above all, must not be
   // believed of the new one. Gone first, it gets a new number there.
-  if (server.told &&
-      (!listed || listed->group != server.told->group || listed->address != server.told->address)) {
-    changes_.push_back(*server.told);
+  if (server.published &&
+      (!listed || listed->group != server.published->group || listed->address != server.published->address)) {
+    changes_.push_back(*server.published);
     changes_.back().state = ServerState::kGone;
   }
-  count(server.told, -1);
+  count(server.published, -1);
   count(listed, 1);
-  if (!listed) server.let_in = false;
-  server.told = std::move(listed);
-  if (server.told) changes_.push_back(*server.told);
+  if (!listed) server.admitted = false;
+  server.published = std::move(listed);
+  if (server.published) changes_.push_back(*server.published);
 }
 
-void Membership::Arm(Entry& entry, Micros when) {
+void Membership::ScheduleWakeup(Entry& entry, Micros when) {
   Server& server = entry.second;
-  if (server.due == when) return;
-  if (server.due != 0) due_.erase({server.due, entry.first});
-  server.due = when;
-  if (when != 0) due_.emplace(when, entry.first);
+  if (server.wakeup == when) return;
+  if (server.wakeup != 0) wakeups_.erase({server.wakeup, entry.first});
+  server.wakeup = when;
+  if (when != 0) wakeups_.emplace(when, entry.first);
 }
 
 void Membership::Tick(Micros now) {
-  while (!due_.empty() && due_.begin()->first <= now) {
-    const auto it = servers_.find(due_.begin()->second);
-    due_.erase(due_.begin());
-    it->second.due = 0;
+  while (!wakeups_.empty() && wakeups_.begin()->first <= now) {
+    const auto it = servers_.find(wakeups_.begin()->second);
+    wakeups_.erase(wakeups_.begin());
+    it->second.wakeup = 0;
     Server& server = it->second;
-    const bool over = !Placing(server) || (server.reason == Reason::kVanished && !Named(server) &&
-                                           now >= server.away_since + options_.linger + options_.memory);
+    const bool over = !AuthoritativeRecord(server) ||
+                      (server.reason == Reason::kVanished && !IsAnnounced(server) &&
+                       now >= server.vanished_at + options_.removal_delay + options_.retention);
     if (!over) {
-      Judge(now, *it);
+      Evaluate(now, *it);
       // Another source names it still: the drain holds until one of them says more.
-      if (it->second.due != 0 && it->second.due <= now) Arm(*it, 0);
+      if (it->second.wakeup != 0 && it->second.wakeup <= now) ScheduleWakeup(*it, 0);
       continue;
     }
-    Tell(*it, std::nullopt);
-    if (server.queued_for >= 0) admission_.Leave(it->first, server.queued_for);
-    if (server.reason == Reason::kHeldDown) --groups_[server.held_in].held;
+    Publish(*it, std::nullopt);
+    if (server.queued_group >= 0) admission_.Remove(it->first, server.queued_group);
+    if (server.reason == Reason::kSuppressed) --groups_[server.suppressed_group].suppressed;
     servers_.erase(it);
-    std::erase_if(groups_, [](const auto& item) { return item.second.ready == 0 && item.second.held == 0; });
+    std::erase_if(groups_,
+                  [](const auto& item) { return item.second.ready == 0 && item.second.suppressed == 0; });
   }
-  FreeHeld(now);
-  Admit(now);
+  ReleaseSuppressed(now);
+  AdmitWaiting(now);
 }
 
-void Membership::Admit(Micros now) {
+void Membership::AdmitWaiting(Micros now) {
   const auto ready = [&](int group) {
     const auto it = groups_.find(group);
     return it == groups_.end() ? std::size_t{0} : it->second.ready;
   };
-  while (const auto id = admission_.Next(now, ready)) {
+  while (const auto id = admission_.AdmitNext(now, ready)) {
     Entry& entry = *servers_.find(*id);
-    entry.second.queued_for = -1;
-    entry.second.let_in = true;
+    entry.second.queued_group = -1;
+    entry.second.admitted = true;
     ++counters_.admitted;
-    Judge(now, entry);
+    Evaluate(now, entry);
   }
 }
 
-void Membership::FreeHeld(Micros now) {
-  std::set<int> short_of;
+void Membership::ReleaseSuppressed(Micros now) {
+  std::set<int> short_groups;
   for (const auto& [group, count] : groups_) {
-    if (count.held > 0 && count.ready <= count.held) short_of.insert(group);
+    if (count.suppressed > 0 && count.ready <= count.suppressed) short_groups.insert(group);
   }
-  if (short_of.empty()) return;
+  if (short_groups.empty()) return;
   for (Entry& entry : servers_) {
-    const bool held = entry.second.reason == Reason::kHeldDown;
-    if (held && short_of.contains(Placing(entry.second)->listed.group)) Judge(now, entry);
+    const bool held = entry.second.reason == Reason::kSuppressed;
+    if (held && short_groups.contains(AuthoritativeRecord(entry.second)->listed.group)) Evaluate(now, entry);
   }
 }
 
 std::optional<Micros> Membership::NextDue() const {
   std::optional<Micros> due = admission_.NextDue();
-  if (!due_.empty() && (!due || due_.begin()->first < *due)) due = due_.begin()->first;
+  if (!wakeups_.empty() && (!due || wakeups_.begin()->first < *due)) due = wakeups_.begin()->first;
   return due;
 }
 
@@ -338,13 +346,13 @@
 std::vector<ServerView> Membership::View() const {
   std::vector<ServerView> view;
   for (const auto& [id, server] : servers_) {
-    const Claim* placing = Placing(server);
-    if (!placing) continue;
-    ServerView row{placing->listed, server.reason, {}, server.since};
-    row.listed.started_unix_ms = server.started_ms;
-    for (std::size_t i = 0; i < server.claims.size(); ++i) {
-      const Word word = server.claims[i].word;
-      if (word != Word::kNothing) row.sources.push_back((Drains(word) ? "-" : "") + sources_[i]);
+    const SourceRecord* authoritative = AuthoritativeRecord(server);
+    if (!authoritative) continue;
+    ServerView row{authoritative->listed, server.reason, {}, server.since};
+    row.listed.started_unix_ms = server.start_ms;
+    for (std::size_t i = 0; i < server.records.size(); ++i) {
+      const SourceState state = server.records[i].state;
+      if (state != SourceState::kUnknown) row.sources.push_back((Drains(state) ? "-" : "") + sources_[i]);
     }
     view.push_back(std::move(row));
   }
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kMostSockets = 32;
 constexpr std::size_t kLeastAsks = 2;
 
-std::vector<std::string> NamesOf(const DirectoryConfig& config) {
+std::vector<std::string> NamesOf(const MembershipConfig& config) {
   std::vector<std::string> names;
   for (const SourceConfig& source : config.sources) names.push_back(source.name);
   return names;
@@ -23,11 +23,12 @@
 }  // namespace
 
 struct Directory::Zone {
-  Zone(std::size_t source_index, const std::string& source_name, const DnsSource& dns, std::size_t most_asks)
+  Zone(std::size_t source_index, const std::string& source_name, const DnsSdSource& dns,
+       std::size_t most_asks)
       : source(source_index), name(source_name), browser(OptionsFor(dns, most_asks)), resolvers(dns.retries) {
     for (const std::string& address : dns.resolvers) endpoints.push_back(ToEndpoint(address));
   }
-  static dnssd::ZoneOptions OptionsFor(const DnsSource& dns, std::size_t most_asks) {
+  static dnssd::ZoneOptions OptionsFor(const DnsSdSource& dns, std::size_t most_asks) {
     dnssd::ZoneOptions options = dns.zone;
     options.most_asks = std::min(options.most_asks, most_asks);
     return options;
@@ -41,22 +42,23 @@
   std::map<std::pair<dnssd::AskId, int>, std::shared_ptr<DnsExchange>> out;  // leave when they end
 };
 
-Directory::Directory(asio::io_context& io, LoopClock& clock, const DirectoryConfig& config, Sink sink)
+Directory::Directory(asio::io_context& io, LoopClock& clock, const MembershipConfig& config, Sink sink)
     : io_(io),
       clock_(clock),
       config_(config),
       sink_(std::move(sink)),
-      membership_(config.membership, NamesOf(config)),
+      membership_(config.options, NamesOf(config)),
       timer_(io) {
-  const auto is_dns = [](const SourceConfig& s) { return s.kind == SourceConfig::Kind::kDns; };
+  const auto is_dns = [](const SourceConfig& s) { return s.kind == SourceConfig::Kind::kDnsSd; };
   const auto zones =
       static_cast<std::size_t>(std::count_if(config.sources.begin(), config.sources.end(), is_dns));
   for (std::size_t i = 0; i < config.sources.size(); ++i) {
     const SourceConfig& source = config.sources[i];
-    if (source.kind == SourceConfig::Kind::kStatic) membership_.Heard(clock_.Now(), i, source.fixed);
+    if (source.kind == SourceConfig::Kind::kStatic)
+      membership_.ApplyListing(clock_.Now(), i, source.static_listing);
     if (!is_dns(source)) continue;
     const std::size_t asks = std::max(kLeastAsks, kMostSockets / zones);
-    zones_.push_back(std::make_unique<Zone>(i, source.name, source.dns, asks));
+    zones_.push_back(std::make_unique<Zone>(i, source.name, source.dns_sd, asks));
   }
   asio::post(io_, [this] { Pump(); });
 }
@@ -72,13 +74,13 @@
 }
 
 void Directory::Remember(const Listing& known) {
-  membership_.Remember(clock_.Now(), static_cast<std::size_t>(config_.registry()), known);
+  membership_.RestoreListing(clock_.Now(), config_.RegistryIndex().value(), known);
 }
 
 void Directory::HeardRegistry(const Listing& listing) {
-  const int registry = config_.registry();
-  if (registry < 0) return;
-  membership_.Heard(clock_.Now(), static_cast<std::size_t>(registry), listing);
+  const std::optional<std::size_t> registry = config_.RegistryIndex();
+  if (!registry) return;
+  membership_.ApplyListing(clock_.Now(), *registry, listing);
   Pump();
 }
 
@@ -123,7 +125,7 @@
                {{"source", zone.name}, {"why", remark.text}});
   }
   if (const std::optional<Listing> listing = zone.browser.TakeListing()) {
-    membership_.Heard(now, zone.source, *listing);
+    membership_.ApplyListing(now, zone.source, *listing);
   }
   return moved;
 }
@@ -173,8 +175,8 @@
   const membership::Counters& c = directory.membership().counters();
   out << "membership servers=" << directory.membership().size() << " vanished=" << c.vanished
       << " returned=" << c.returned << " restarts=" << c.restarts << " moved=" << c.moved
-      << " disagreed=" << c.disagreed << " held_down=" << c.held_down << " admitted=" << c.admitted
-      << " over=" << c.over << "\n";
+      << " disagreed=" << c.conflicts << " held_down=" << c.suppressed << " admitted=" << c.admitted
+      << " over=" << c.over_limit << "\n";
   for (const membership::ServerView& server : directory.membership().View()) {
     out << "server " << server.listed.id << " at " << server.listed.address
         << " group=" << server.listed.group << " site=" << server.listed.zone
--- a/src/net/directory.hpp
+++ b/src/net/directory.hpp
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "src/config/directory_config.hpp"
+#include "src/config/membership_config.hpp"
 #include "src/dnssd/browser.hpp"
 #include "src/dnssd/retries.hpp"
 #include "src/membership/membership.hpp"
@@ -27,7 +27,7 @@
   using Sink = std::function<void(const Listing&)>;
 
   // The sink is given what changed, from the loop.
-  Directory(asio::io_context& io, LoopClock& clock, const DirectoryConfig& config, Sink sink);
+  Directory(asio::io_context& io, LoopClock& clock, const MembershipConfig& config, Sink sink);
   ~Directory();
   Directory(const Directory&) = delete;
   Directory& operator=(const Directory&) = delete;
@@ -58,7 +58,7 @@
 
   asio::io_context& io_;
   LoopClock& clock_;
-  DirectoryConfig config_;
+  MembershipConfig config_;
   Sink sink_;
   membership::Membership membership_;
   DnsSocketCounters counters_;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -69,13 +69,13 @@
   std::size_t servers = 0;
 };
 Budget BudgetOf(const Config& config, double share) {
-  const int held = static_cast<int>(share * SocketsOf(config.sockets));
+  const int held = static_cast<int>(share * SocketsOf(config.max_sockets));
   const auto sockets = static_cast<double>(std::max(held - kOwnDescriptors, held / 2));
   const auto most = static_cast<std::size_t>(kClientShare * sockets);
-  const auto kept = static_cast<std::size_t>(kKeptShare * config.sockets);
+  const auto kept = static_cast<std::size_t>(kKeptShare * config.max_sockets);
   const auto bytes = static_cast<std::size_t>(share * static_cast<double>(config.memory_bytes));
   const auto statements = static_cast<std::size_t>(kStatementShare * static_cast<double>(bytes));
-  const auto open = static_cast<std::size_t>(kOpenShare * share * config.sockets);
+  const auto open = static_cast<std::size_t>(kOpenShare * share * config.max_sockets);
   return {{most, std::min(most, open), std::min(most, kept), bytes / kBufferedShare, statements},
           static_cast<std::size_t>(sockets) - most};
 }
@@ -88,11 +88,11 @@
 
 // Nothing where the registry is no source of this router.
 std::string WatchedAddress(const Config& config) {
-  return config.directory.on() && config.directory.registry() < 0 ? "" : config.discovery;
+  return config.membership.on() && !config.membership.RegistryIndex() ? "" : config.discovery_address;
 }
 
 ExchangeOptions OptionsOf(const Config& config, Micros now) {
-  ExchangeOptions options{config.settings,        config.seed, config.zones, config.kinds,
+  ExchangeOptions options{config.settings,        config.seed, config.failure_domains, config.kinds,
                           config.connect_timeout, config.trace};
   options.settings.reports_are_floats = false;
   const Micros origin = options.settings.origin;
@@ -105,7 +105,7 @@
 }
 
 FrontOptions FrontOptionsOf(const Config& config, std::function<void()> before_request) {
-  return {ToEndpoint(config.listen), BudgetOf(config, 1).clients, config.accept_fd,
+  return {ToEndpoint(config.listen_address), BudgetOf(config, 1).clients, config.accept_fd.value_or(-1),
           std::move(before_request)};
 }
 
@@ -120,8 +120,8 @@
       directory_(MakeDirectory()),
       discovery_(
           io_, [this](const Listing& listing) { HeardRegistry(listing); }, WatchedAddress(config),
-          config.known.version, limits::ListPace(config.settings, config.seed)),
-      handover_(io_, config.accept_fd < 0 ? "" : config.temporary, config.name, config.seed,
+          config.cached_listing.version, limits::ListPace(config.settings, config.seed)),
+      handover_(io_, !config.accept_fd ? "" : config.shared_directory, config.name, config.seed,
                 HandoverEvents()),
       due_timer_(io_),
       stop_timer_(io_),
@@ -130,11 +130,11 @@
       shrink_timer_(io_),
       stop_plan_(PlanStop(config.settings)) {
   signals_.add(SIGUSR1);
-  exchange_.Start(clock_.Now(), config.known);
-  if (directory_ && !config.known.servers.empty()) directory_->Remember(config.known);
-  if (!config.operators.empty()) {
+  exchange_.Start(clock_.Now(), config.cached_listing);
+  if (directory_ && !config.cached_listing.servers.empty()) directory_->Remember(config.cached_listing);
+  if (!config.admin_address.empty()) {
     door_.emplace(
-        io_, ToEndpoint(config.operators),
+        io_, ToEndpoint(config.admin_address),
         [this](const std::string& method, const std::string& path) { return AnswerOperator(method, path); });
   }
   AwaitSignal();
@@ -161,16 +161,16 @@
   handover_.Step(Handover::Partner::kOlder, HandoverStep::kServing);
   handover_.Offer();
   const Config& config = config_;
-  const std::string host = SplitAddress(config.listen).host;
+  const std::string host = ParseHostPort(config.listen_address).host;
   const std::string address = host + ":" + std::to_string(front_.port());
-  const std::size_t known = config.known.servers.size();
+  const std::size_t known = config.cached_listing.servers.size();
   LogInfo("serving", config.name + " serves on " + address + ", knows " + std::to_string(known) + " servers",
           {{"name", config.name}, {"address", address}, {"servers", static_cast<std::int64_t>(known)}});
 }
 
 std::unique_ptr<Directory> Node::MakeDirectory() {
-  if (!config_.directory.on()) return nullptr;
-  return std::make_unique<Directory>(io_, clock_, config_.directory, [this](const Listing& listing) {
+  if (!config_.membership.on()) return nullptr;
+  return std::make_unique<Directory>(io_, clock_, config_.membership, [this](const Listing& listing) {
     exchange_.Heard(clock_.Now(), listing);
   });
 }
@@ -198,7 +198,7 @@
 Handover::Events Node::HandoverEvents() {
   return {[this](Handover::Partner partner, HandoverStep step) { OnStep(partner, step); },
           [this](const HandoverHolds& holds) {
-            const double sockets = config_.sockets;
+            const double sockets = config_.max_sockets;
             Take(std::max(kShareBeside, (sockets - holds.descriptors) / sockets));
           },
           [this](const SessionNews& news) { exchange_.Learn(clock_.Now(), news); },
@@ -225,7 +225,7 @@
                                " requests are still out");
     front_.PauseAccepting();
     service_.HandOver(clock_.Now());
-    told_holds_ = config_.sockets;
+    told_holds_ = config_.max_sockets;
     Shrink();
   }
 }
@@ -355,7 +355,7 @@
 // Of a new configuration only the address of discovery is taken over: all else was built into what runs.
 void Node::Reload() {
   try {
-    const std::string address = ReloadConfig().discovery;
+    const std::string address = ReloadConfig().discovery_address;
     discovery_.Redirect(address);
     LogInfo("configuration_read", "configuration read anew: discovery is at " + address);
   } catch (const std::exception& error) {
@@ -412,8 +412,8 @@
     LogInfo("membership", "membership:" + text("servers", directory_->membership().size()) +
                               text("vanished", m.vanished) + text("returned", m.returned) +
                               text("restarts", m.restarts) + text("moved", m.moved) +
-                              text("disagreed", m.disagreed) + text("held_down", m.held_down) +
-                              text("admitted", m.admitted) + text("over", m.over));
+                              text("disagreed", m.conflicts) + text("held_down", m.suppressed) +
+                              text("admitted", m.admitted) + text("over", m.over_limit));
     for (const Directory::ZoneView& zone : directory_->Zones()) {
       LogInfo("zone", "zone " + zone.source + ":" + text("instances", zone.instances.size()) +
                           text("looks", zone.browser.looks) + text("told", zone.browser.told) +
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -7,8 +7,8 @@
 #include <sstream>
 
 #include "src/cli/commands.hpp"
-#include "src/config/checked.hpp"
-#include "src/config/directory_config.hpp"
+#include "src/config/config_error.hpp"
+#include "src/config/membership_config.hpp"
 #include "src/log/log.hpp"
 #include "standins/dns_responder.hpp"
 
@@ -24,14 +24,14 @@
 }
 std::string WhatIsWrong(const Json& json) {
   try {
-    DirectoryFrom(json, "membership", Settings());
+    ParseMembershipConfig(json, "membership", Settings());
     return "";
   } catch (const ConfigError& error) {
     return error.what();
   }
 }
 
-TEST(DirectoryConfig, WhatIsWrongIsNamedByItsPathAndReason) {
+TEST(MembershipConfig, WhatIsWrongIsNamedByItsPathAndReason) {
   EXPECT_EQ(WhatIsWrong(Sources(Json::object())), "");
   EXPECT_EQ(WhatIsWrong(Sources({{"resolvers", {"127.0.0.1:53", "here"}}})),
             "membership.sources[0].resolvers[1]: not an address and port: 'here'");
--- a/tests/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -25,11 +25,11 @@
   const Config c = ParseConfig(kConfig);
   EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
   EXPECT_EQ(c.memory_bytes, std::size_t{64} << 20);
-  EXPECT_EQ(c.sockets, 256);
-  EXPECT_EQ(c.operators, "");  // no door unless one is asked for
+  EXPECT_EQ(c.max_sockets, 256);
+  EXPECT_EQ(c.admin_address, "");  // no door unless one is asked for
   EXPECT_EQ(c.connect_timeout, 125'000);
   EXPECT_EQ(c.idle_close, 15'000'000);
-  EXPECT_EQ(c.zones, (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(c.failure_domains, (std::vector<std::string>{"a", "b"}));
   ASSERT_EQ(c.settings.classes.size(), 1u);
   EXPECT_EQ(c.settings.classes[0].name, "map read");
   EXPECT_EQ(c.settings.classes[0].effect, Effect::kKeyed);
@@ -38,11 +38,11 @@
   EXPECT_TRUE(c.settings.may_probe);
   EXPECT_EQ(c.settings.report_fields, (std::vector<std::string>{"x0", "x1"}));
   // Entries that make no sense do not hide the others.
-  ASSERT_EQ(c.known.servers.size(), 1u);
-  EXPECT_EQ(c.known.version, 41u);
-  EXPECT_EQ(c.known.servers[0].state, ServerState::kDraining);
-  EXPECT_EQ(c.known.servers[0].started_unix_ms, 12);
-  EXPECT_EQ(c.known.servers[0].group, 3);
+  ASSERT_EQ(c.cached_listing.servers.size(), 1u);
+  EXPECT_EQ(c.cached_listing.version, 41u);
+  EXPECT_EQ(c.cached_listing.servers[0].state, ServerState::kDraining);
+  EXPECT_EQ(c.cached_listing.servers[0].started_unix_ms, 12);
+  EXPECT_EQ(c.cached_listing.servers[0].group, 3);
 }
 
 // Guards against two readings of the same settings: the program's JSON and the simulator's lines are one
@@ -69,9 +69,9 @@
     EXPECT_THROW(ParseConfig(text), std::runtime_error) << text;
   }
   for (const char* address : {"", "x", ":1", "h:", "h:70000", "h:1x"}) {
-    EXPECT_THROW(SplitAddress(address), std::runtime_error) << address;
+    EXPECT_THROW(ParseHostPort(address), std::runtime_error) << address;
   }
-  EXPECT_EQ(SplitAddress("127.0.0.1:80").port, 80);
+  EXPECT_EQ(ParseHostPort("127.0.0.1:80").port, 80);
 }
 
 TEST(Listing, WhatIsNoListIsRefused) {
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -6,7 +6,7 @@
 #include <thread>
 
 #include "checks/rules.hpp"
-#include "src/config/directory_config.hpp"
+#include "src/config/membership_config.hpp"
 #include "standins/dns_responder.hpp"
 #include "standins/pg_client.hpp"
 #include "standins/pg_server.hpp"
@@ -45,8 +45,8 @@
       rules.fall_multiple = 3;
       rules.fall = 3'000'000;
       rules.drain_grace = 2'000'000;
-      config.directory = DirectoryFrom({{"sources", {source}}}, "membership", config.settings);
-      config.known = Listing();
+      config.membership = ParseMembershipConfig({{"sources", {source}}}, "membership", config.settings);
+      config.cached_listing = Listing();
     };
   }
   standins::PgServer& AddServer(const std::string& name) {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -158,7 +158,7 @@
   std::unique_ptr<Running> Start() {
     return std::make_unique<Running>(std::vector<std::uint16_t>{server_.port()}, 256, 1, [&](Config& config) {
       config.accept_fd = ::dup(held_.native_handle());
-      config.temporary = folder_;
+      config.shared_directory = folder_;
       config.settings.classes[0].deadline = 300'000;  // so that a stop is soon over
     });
   }
--- a/tests/membership/event_oracle_test.cpp
+++ b/tests/membership/event_oracle_test.cpp
@@ -76,8 +76,8 @@
   }
   void Add(const Counters& counters) {
     for (const std::uint64_t count :
-         {counters.vanished, counters.returned, counters.restarts, counters.moved, counters.disagreed,
-          counters.held_down, counters.admitted, counters.over}) {
+         {counters.vanished, counters.returned, counters.restarts, counters.moved, counters.conflicts,
+          counters.suppressed, counters.admitted, counters.over_limit}) {
       Add(count);
     }
   }
@@ -112,8 +112,8 @@
 
  private:
   void RestoreSources() {
-    members_.Remember(now_, 0, RandomListing(false));
-    members_.Heard(now_, 1, RandomListing(true));
+    members_.RestoreListing(now_, 0, RandomListing(false));
+    members_.ApplyListing(now_, 1, RandomListing(true));
     Collect();
   }
 
@@ -121,9 +121,9 @@
     const std::size_t source = random_.Below(kSources);
     switch (random_.Below(16)) {
       case 0:
-        return members_.Heard(now_, source, RandomListing(true));
+        return members_.ApplyListing(now_, source, RandomListing(true));
       case 1:
-        return members_.Heard(now_, source, RandomListing(false));
+        return members_.ApplyListing(now_, source, RandomListing(false));
       case 2:
       case 3:
         return Flap(source);
@@ -137,7 +137,7 @@
       case 9:
         return Change(source, ServerState::kReady);
       case 10:
-        if (random_.OneIn(12)) members_.Dropped(now_, source);
+        if (random_.OneIn(12)) members_.RemoveSource(now_, source);
         return;
       case 11:
         return TickWhenDue();
@@ -168,17 +168,17 @@
     const std::string id = RandomId();
     const std::uint64_t rounds = 1 + random_.Below(3);
     for (std::uint64_t round = 0; round < rounds; ++round) {
-      members_.Heard(now_, source, {1, false, {ServerNamed(id, ServerState::kReady)}});
+      members_.ApplyListing(now_, source, {1, false, {ServerNamed(id, ServerState::kReady)}});
       now_ += static_cast<Micros>(random_.Below(kSecond));
-      members_.Heard(now_, source, {1, false, {ServerNamed(id, ServerState::kGone)}});
+      members_.ApplyListing(now_, source, {1, false, {ServerNamed(id, ServerState::kGone)}});
       Collect();
       now_ += static_cast<Micros>(random_.Below(kSecond));
     }
-    members_.Heard(now_, source, {1, false, {ServerNamed(id, ServerState::kReady)}});
+    members_.ApplyListing(now_, source, {1, false, {ServerNamed(id, ServerState::kReady)}});
   }
 
   void Change(std::size_t source, ServerState state) {
-    members_.Heard(now_, source, {1, false, {ServerNamed(RandomId(), state)}});
+    members_.ApplyListing(now_, source, {1, false, {ServerNamed(RandomId(), state)}});
   }
 
   Listing RandomListing(bool complete) {
@@ -248,8 +248,8 @@
   EXPECT_GT(counters.returned, 0u);
   EXPECT_GT(counters.restarts, 0u);
   EXPECT_GT(counters.moved, 0u);
-  EXPECT_GT(counters.disagreed, 0u);
-  EXPECT_GT(counters.held_down, 0u);
+  EXPECT_GT(counters.conflicts, 0u);
+  EXPECT_GT(counters.suppressed, 0u);
   EXPECT_GT(counters.admitted, 0u);
 }
 
@@ -261,25 +261,25 @@
 
 TEST(EventOracle, ManyServersAtALowAdmissionRateEmitTheRecordedSequence) {
   Options options;
-  options.most_servers = 90;
+  options.max_servers = 90;
   options.admission.burst = 2;
-  options.admission.per_s = 0.5;
-  options.admission.needy = 2;
+  options.admission.rate_per_second = 0.5;
+  options.admission.min_in_service = 2;
   Scenario scenario(2, options, 120);
   EXPECT_EQ(scenario.Run(), 3310007285406696972u);
   ExpectAllCounted(scenario.counters());
-  EXPECT_GT(scenario.counters().over, 0u);
+  EXPECT_GT(scenario.counters().over_limit, 0u);
 }
 
 TEST(EventOracle, QuickSuppressionAndShortMemoryEmitTheRecordedSequence) {
   Options options;
-  options.linger = 3 * kSecond;
-  options.memory = 5 * kSecond;
-  options.warm_after = 4 * kSecond;
-  options.flapping.hold_over = 1.5;
-  options.flapping.free_under = 0.5;
-  options.flapping.most = 4;
-  options.flapping.half_life = 5 * kSecond;
+  options.removal_delay = 3 * kSecond;
+  options.retention = 5 * kSecond;
+  options.warm_up_time = 4 * kSecond;
+  options.flap_damping.suppress_threshold = 1.5;
+  options.flap_damping.reuse_threshold = 0.5;
+  options.flap_damping.max_penalty = 4;
+  options.flap_damping.half_life = 5 * kSecond;
   Scenario scenario(3, options, 9);
   EXPECT_EQ(scenario.Run(), 14901114532185568311u);
   ExpectAllCounted(scenario.counters());
--- a/tests/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -27,11 +27,11 @@
 class MembershipTest : public testing::Test {
  protected:
   void Whole(std::size_t source, std::vector<ListedServer> servers) {
-    members_.Heard(now_, source, {1, true, std::move(servers)});
+    members_.ApplyListing(now_, source, {1, true, std::move(servers)});
     Take();
   }
   void Change(std::size_t source, ListedServer server) {
-    members_.Heard(now_, source, {1, false, {std::move(server)}});
+    members_.ApplyListing(now_, source, {1, false, {std::move(server)}});
     Take();
   }
   void Vanish(std::size_t source, const std::string& id) {
@@ -54,31 +54,31 @@
       EXPECT_FALSE(listing->complete);
       for (const ListedServer& server : listing->servers) {
         if (server.state == ServerState::kGone) {
-          EXPECT_EQ(told_.erase(server.id), 1u);
+          EXPECT_EQ(published_.erase(server.id), 1u);
           ++gone_;
         } else {
-          told_[server.id] = server;
+          published_[server.id] = server;
         }
       }
     }
   }
   std::size_t Ready() const {
     std::size_t ready = 0;
-    for (const auto& [id, server] : told_) ready += server.state == ServerState::kReady ? 1 : 0;
+    for (const auto& [id, server] : published_) ready += server.state == ServerState::kReady ? 1 : 0;
     return ready;
   }
   bool Serves(const std::string& id) const {
-    const auto it = told_.find(id);
-    return it != told_.end() && it->second.state == ServerState::kReady;
+    const auto it = published_.find(id);
+    return it != published_.end() && it->second.state == ServerState::kReady;
   }
   bool Drains(const std::string& id) const {
-    const auto it = told_.find(id);
-    return it != told_.end() && it->second.state == ServerState::kDraining;
+    const auto it = published_.find(id);
+    return it != published_.end() && it->second.state == ServerState::kDraining;
   }
 
   Micros now_ = kStart;
   Membership members_{Options(), {"registry", "derby", "nottingham"}};
-  std::map<std::string, ListedServer> told_;
+  std::map<std::string, ListedServer> published_;
   int gone_ = 0;
 };
 
@@ -90,7 +90,7 @@
   Pass(9 * kSecond);
   EXPECT_TRUE(Drains("a")) << "what runs there is let finish";
   Pass(2 * kSecond);
-  EXPECT_FALSE(told_.contains("a"));
+  EXPECT_FALSE(published_.contains("a"));
   EXPECT_TRUE(Serves("b"));
   Pass(200 * kSecond);
   EXPECT_EQ(members_.size(), 1u);  // forgotten, in the end
@@ -103,7 +103,7 @@
     Pass(away);
     Change(1, Server("a", 1000));
     ASSERT_TRUE(Serves("a"));
-    EXPECT_EQ(told_.at("a").started_unix_ms, 1000);  // still warm
+    EXPECT_EQ(published_.at("a").started_unix_ms, 1000);  // still warm
     Pass(60 * kSecond);
   }
   EXPECT_EQ(members_.counters().restarts, 0u);
@@ -117,11 +117,11 @@
   const std::int64_t newer = now_ / 1000 - 100;
   Change(1, Server("a", newer));
   ASSERT_TRUE(Serves("a"));
-  EXPECT_EQ(told_.at("a").started_unix_ms, newer);
+  EXPECT_EQ(published_.at("a").started_unix_ms, newer);
   EXPECT_EQ(members_.counters().restarts, 1u);
   // An older word comes late: the process believed in is not older for it.
   Change(2, Server("a", 500));
-  EXPECT_EQ(told_.at("a").started_unix_ms, newer);
+  EXPECT_EQ(published_.at("a").started_unix_ms, newer);
 }
 
 // Without a start time nothing shows that the process is the one that was there: in doubt it is cold.
@@ -131,7 +131,7 @@
   Pass(kSecond);
   Change(1, Server("a"));
   ASSERT_TRUE(Serves("a"));
-  EXPECT_EQ(told_.at("a").started_unix_ms, now_ / 1000);
+  EXPECT_EQ(published_.at("a").started_unix_ms, now_ / 1000);
 }
 
 // What the old place has shown must not be believed of the new one.
@@ -140,8 +140,8 @@
   Change(1, Server("a", 1000, "10.0.0.2:1"));
   EXPECT_EQ(gone_, 1);  // the exchange forgets the former one and all that it showed
   ASSERT_TRUE(Serves("a"));
-  EXPECT_EQ(told_.at("a").address, "10.0.0.2:1");
-  EXPECT_EQ(told_.at("a").started_unix_ms, now_ / 1000);
+  EXPECT_EQ(published_.at("a").address, "10.0.0.2:1");
+  EXPECT_EQ(published_.at("a").started_unix_ms, now_ / 1000);
   EXPECT_EQ(members_.counters().moved, 1u);
 }
 
@@ -162,16 +162,16 @@
     Change(other, Server("a", 1000));
     EXPECT_TRUE(Drains("a"));
     Pass(300 * kSecond);
-    EXPECT_FALSE(told_.contains("a"))
+    EXPECT_FALSE(published_.contains("a"))
         << "one source's silence about it holds for as long as the other names it";
     Change(drains, Server("a", 1000));
     Pass(5 * kSecond);
     EXPECT_TRUE(Serves("a"));
   }
-  EXPECT_GE(members_.counters().disagreed, 4u);
+  EXPECT_GE(members_.counters().conflicts, 4u);
 }
 
-TEST_F(MembershipTest, AnewStartEndsAnotherSourcesWordThatTheFormerOneVanished) {
+TEST_F(MembershipTest, ANewerStartTimeOverridesAnotherSourcesVanishedRecord) {
   Whole(0, {Server("a", 1000), Server("b", 1000)});
   Whole(1, {Server("a", 1000), Server("b", 1000)});
   Vanish(1, "a");
@@ -183,17 +183,17 @@
 
 TEST_F(MembershipTest, TheFirstSourceSaysWhereAServerIs) {
   Whole(1, {Server("a", 1000, "10.0.0.2:1")});
-  EXPECT_EQ(told_.at("a").address, "10.0.0.2:1");
+  EXPECT_EQ(published_.at("a").address, "10.0.0.2:1");
   Whole(0, {Server("a", 1000, "10.0.0.1:1")});
-  EXPECT_EQ(told_.at("a").address, "10.0.0.1:1");
+  EXPECT_EQ(published_.at("a").address, "10.0.0.1:1");
   Change(1, Server("a", 1000, "10.0.0.3:1"));
-  EXPECT_EQ(told_.at("a").address, "10.0.0.1:1");
+  EXPECT_EQ(published_.at("a").address, "10.0.0.1:1");
 }
 
 TEST_F(MembershipTest, ASourceThatIsDroppedDrainsWhomOnlyItNamed) {
   Whole(0, {Server("a", 1000)});
   Whole(1, {Server("a", 1000), Server("b", 1000)});
-  members_.Dropped(now_, 1);
+  members_.RemoveSource(now_, 1);
   Take();
   EXPECT_TRUE(Serves("a"));
   EXPECT_TRUE(Drains("b"));
@@ -209,7 +209,7 @@
   std::size_t before = Ready();
   for (int second = 0; second < 60; ++second) {
     Pass(kSecond);
-    EXPECT_LE(Ready() - before, static_cast<std::size_t>(pace.per_s) + 1);
+    EXPECT_LE(Ready() - before, static_cast<std::size_t>(pace.rate_per_second) + 1);
     before = Ready();
     EXPECT_TRUE(Serves("warm-1"));
   }
@@ -244,13 +244,14 @@
     Pass(kSecond);
   }
   EXPECT_LE(changes, 12);
-  EXPECT_EQ(members_.counters().held_down, 1u);
+  EXPECT_EQ(members_.counters().suppressed, 1u);
   EXPECT_FALSE(Serves("a"));
   Pass(120 * kSecond);
   EXPECT_TRUE(Serves("a")) << "it is let back in when it has been steady";
 }
 
-// Where most of a set flaps, the flapping is not the servers': holding them all down would end the service.
+// Where most of a set flap_history, the flapping is not the servers': holding them all down would end the
+// service.
 TEST_F(MembershipTest, HoldingDownNeverEmptiesASet) {
   const std::vector<ListedServer> all = {Server("a", 1000), Server("b", 1000), Server("c", 1000),
                                          Server("d", 1000)};
@@ -266,13 +267,13 @@
 
 TEST_F(MembershipTest, MoreServersThanAreHeldAreCountedAndTheOthersStay) {
   Options options;
-  options.most_servers = 3;
+  options.max_servers = 3;
   Membership members(options, {"derby"});
   std::vector<ListedServer> all;
   for (int i = 0; i < 10; ++i) all.push_back(Server("s" + std::to_string(i), 1000));
-  members.Heard(now_, 0, {1, true, all});
+  members.ApplyListing(now_, 0, {1, true, all});
   EXPECT_EQ(members.size(), 3u);
-  EXPECT_EQ(members.counters().over, 7u);
+  EXPECT_EQ(members.counters().over_limit, 7u);
 }
 
 // Whatever the sources say in whatever order: who is told in service has no source that drains it, has one
@@ -281,16 +282,16 @@
   for (unsigned seed = 0; seed < 40; ++seed) {
     std::mt19937 random(seed);
     Membership members(Options(), {"one", "two", "three"});
-    std::map<std::string, ListedServer> told;
+    std::map<std::string, ListedServer> published;
     std::vector<std::map<std::string, ServerState>> said(3);
     Micros now = kStart;
     const auto take = [&] {
       while (const auto listing = members.TakeListing()) {
         for (const ListedServer& server : listing->servers) {
           if (server.state == ServerState::kGone)
-            told.erase(server.id);
+            published.erase(server.id);
           else
-            told[server.id] = server;
+            published[server.id] = server;
         }
       }
     };
@@ -300,24 +301,24 @@
       const auto state = static_cast<ServerState>(random() % 3);
       const bool known = said[source].contains(id);
       ListedServer server = Server(id, static_cast<std::int64_t>(random() % 3), "10.0.0.1:1", state);
-      members.Heard(now, source, {1, false, {server}});
+      members.ApplyListing(now, source, {1, false, {server}});
       if (state != ServerState::kGone || known) said[source][id] = state;
       now += static_cast<Micros>(random() % 1'500'000);
       members.Tick(now);
       take();
-      for (const auto& [name, entry] : told) {
+      for (const auto& [name, entry] : published) {
         if (entry.state != ServerState::kReady) continue;
         bool named = false;
-        for (const auto& words : said) {
-          const auto word = words.find(name);
-          if (word == words.end()) continue;
-          named = named || word->second == ServerState::kReady;
-          EXPECT_NE(word->second, ServerState::kDraining) << "seed " << seed << " step " << step;
+        for (const auto& states : said) {
+          const auto found = states.find(name);
+          if (found == states.end()) continue;
+          named = named || found->second == ServerState::kReady;
+          EXPECT_NE(found->second, ServerState::kDraining) << "seed " << seed << " step " << step;
         }
         EXPECT_TRUE(named) << "seed " << seed << " step " << step;
       }
     }
-    for (std::size_t source = 0; source < 3; ++source) members.Heard(now, source, {1, true, {}});
+    for (std::size_t source = 0; source < 3; ++source) members.ApplyListing(now, source, {1, true, {}});
     for (int i = 0; i < 400; ++i) members.Tick(now += kSecond);
     EXPECT_EQ(members.size(), 0u);
     EXPECT_FALSE(members.NextDue());
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -322,7 +322,7 @@
     config.settings.classes[1].name = "put";
     config.settings.classes[1].freshness = Freshness::kWrite;
     config.settings.listed_role = ListedRole::kStart;
-    config.known.servers[0].leads = true;
+    config.cached_listing.servers[0].leads = true;
     config.memory_bytes = std::size_t{48} << 20;
     config.connect_timeout = 5'000'000;  // the loop may be busy with these for longer than usual
   });
@@ -580,7 +580,7 @@
   std::filesystem::create_directories(folder);
   const auto beside = [&](Config& config) {
     config.accept_fd = ::dup(held.native_handle());
-    config.temporary = folder;
+    config.shared_directory = folder;
   };
   Running older({server.port()}, 256, 1, beside);
   EXPECT_TRUE(older.Call("GET", "/control/ready").starts_with("HTTP/1.1 200 "));
