--- a/src/config/membership_config.cpp
+++ b/src/config/membership_config.cpp
@@ -109,11 +109,11 @@
   membership::Options& options = config.options;
   Micros longest = settings.drain_grace;
   for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
-  options.removal_delay = std::max(options.removal_delay, longest + kLingerMargin);
+  options.vanish.removal_delay = std::max(options.vanish.removal_delay, longest + kLingerMargin);
   if (settings.warm_after > 0) options.warm_up_time = settings.warm_after;
-  options.removal_delay =
-      object.Millis("linger_ms", options.removal_delay, static_cast<double>(longest) / 1e3, kHourMs);
-  options.retention = object.Millis("memory_ms", options.retention, 0, 24 * kHourMs);
+  options.vanish.removal_delay =
+      object.Millis("linger_ms", options.vanish.removal_delay, static_cast<double>(longest) / 1e3, kHourMs);
+  options.vanish.retention = object.Millis("memory_ms", options.vanish.retention, 0, 24 * kHourMs);
   options.max_servers = object.Count("most_servers", options.max_servers, 1, 1'000'000);
   JsonObjectReader flapping = object.Object("flapping");
   options.flap_damping.suppress_threshold =
--- a/src/membership/admission_pacer.cpp
+++ b/src/membership/admission_pacer.cpp
@@ -7,7 +7,9 @@
 namespace tulipyoke::membership {
 namespace {
 
-constexpr double kMicrosASecond = 1e6;
+constexpr double kMicrosPerSecond = 1e6;
+// Tokens are refilled by fractions: a sum this close to one counts as a whole token.
+constexpr double kTokenTolerance = 1e-6;
 
 }  // namespace
 
@@ -21,41 +23,39 @@
 }
 
 void AdmissionPacer::Refill(Micros now) {
-  if (refilled_at_ != 0 && now > refilled_at_) {
-    const double grown =
-        tokens_ + options_.rate_per_second * static_cast<double>(now - refilled_at_) / kMicrosASecond;
-    tokens_ = std::min(options_.burst, grown);
+  if (refilled_at_ && now > *refilled_at_) {
+    const auto elapsed = static_cast<double>(now - *refilled_at_);
+    tokens_ = std::min(options_.burst, tokens_ + options_.rate_per_second * elapsed / kMicrosPerSecond);
   }
   refilled_at_ = now;
 }
 
-std::optional<std::string> AdmissionPacer::AdmitNext(Micros now,
-                                                     const std::function<std::size_t(int group)>& ready) {
+std::optional<std::string> AdmissionPacer::AdmitNext(Micros now, const CountInService& in_service) {
   Refill(now);
-  const auto least =
-      std::min_element(queues_by_group_.begin(), queues_by_group_.end(),
-                       [&](const auto& a, const auto& b) { return ready(a.first) < ready(b.first); });
-  if (least == queues_by_group_.end()) return std::nullopt;
-  const bool below_minimum = ready(least->first) < options_.min_in_service;
-  // A hair under one counts: places are refilled by fractions.
-  if (!below_minimum && tokens_ < 1 - 1e-6) return std::nullopt;
+  const auto smallest = std::min_element(
+      queues_by_group_.begin(), queues_by_group_.end(),
+      [&](const auto& a, const auto& b) { return in_service(a.first) < in_service(b.first); });
+  if (smallest == queues_by_group_.end()) return std::nullopt;
+  const bool below_minimum = in_service(smallest->first) < options_.min_in_service;
+  if (!below_minimum && tokens_ < 1 - kTokenTolerance) return std::nullopt;
   tokens_ = std::max(0.0, tokens_ - 1);
-  std::string id = std::move(least->second.front());
-  least->second.pop_front();
-  if (least->second.empty()) queues_by_group_.erase(least);
+  std::string id = std::move(smallest->second.front());
+  smallest->second.pop_front();
+  if (smallest->second.empty()) queues_by_group_.erase(smallest);
   return id;
 }
 
 std::optional<Micros> AdmissionPacer::NextDue() const {
   if (queues_by_group_.empty()) return std::nullopt;
   const double missing = std::max(0.0, 1 - tokens_);
-  return refilled_at_ + static_cast<Micros>(std::ceil(missing / options_.rate_per_second * kMicrosASecond));
+  const double wait = std::ceil(missing / options_.rate_per_second * kMicrosPerSecond);
+  return refilled_at_.value_or(0) + static_cast<Micros>(wait);
 }
 
 std::size_t AdmissionPacer::size() const {
-  std::size_t all = 0;
-  for (const auto& [group, queue] : queues_by_group_) all += queue.size();
-  return all;
+  std::size_t total = 0;
+  for (const auto& [group, queue] : queues_by_group_) total += queue.size();
+  return total;
 }
 
 }  // namespace tulipyoke::membership
--- a/src/membership/flap_damping.cpp
+++ b/src/membership/flap_damping.cpp
@@ -5,29 +5,28 @@
 
 namespace tulipyoke::membership {
 
-double PenaltyAt(const FlapDampingOptions& options, const FlapHistory& history, Micros now) {
-  const auto half_lives = static_cast<double>(std::max<Micros>(0, now - history.updated_at)) /
-                          static_cast<double>(options.half_life);
-  return history.penalty * std::exp2(-half_lives);
+double FlapHistory::PenaltyAt(const FlapDampingOptions& options, Micros now) const {
+  const auto elapsed = static_cast<double>(std::max<Micros>(0, now - updated_at_));
+  const double half_lives = elapsed / static_cast<double>(options.half_life);
+  return penalty_ * std::exp2(-half_lives);
 }
 
-bool RecordWithdrawal(const FlapDampingOptions& options, FlapHistory& history, Micros now) {
-  history.penalty = std::min(options.max_penalty, PenaltyAt(options, history, now) + 1);
-  history.updated_at = now;
-  const bool newly_suppressed = !history.suppressed && history.penalty > options.suppress_threshold;
-  history.suppressed = history.suppressed || newly_suppressed;
+bool FlapHistory::RecordWithdrawal(const FlapDampingOptions& options, Micros now) {
+  penalty_ = std::min(options.max_penalty, PenaltyAt(options, now) + 1);
+  updated_at_ = now;
+  const bool newly_suppressed = !suppressed_ && penalty_ > options.suppress_threshold;
+  suppressed_ = suppressed_ || newly_suppressed;
   return newly_suppressed;
 }
 
-Micros ReuseTime(const FlapDampingOptions& options, const FlapHistory& history) {
-  if (!history.suppressed || history.penalty <= options.reuse_threshold) return history.updated_at;
-  const double half_lives = std::log2(history.penalty / options.reuse_threshold);
-  return history.updated_at +
-         static_cast<Micros>(std::ceil(half_lives * static_cast<double>(options.half_life)));
+Micros FlapHistory::ReuseTime(const FlapDampingOptions& options) const {
+  if (!suppressed_ || penalty_ <= options.reuse_threshold) return updated_at_;
+  const double half_lives = std::log2(penalty_ / options.reuse_threshold);
+  return updated_at_ + static_cast<Micros>(std::ceil(half_lives * static_cast<double>(options.half_life)));
 }
 
-void UpdateSuppression(const FlapDampingOptions& options, FlapHistory& history, Micros now) {
-  if (history.suppressed && now >= ReuseTime(options, history)) history.suppressed = false;
+void FlapHistory::Update(const FlapDampingOptions& options, Micros now) {
+  if (suppressed_ && now >= ReuseTime(options)) suppressed_ = false;
 }
 
 }  // namespace tulipyoke::membership
--- a/src/membership/flap_damping.hpp
+++ b/src/membership/flap_damping.hpp
@@ -1,5 +1,6 @@
-// Holding down what comes and goes, after the damping of routes (RFC 2439, 4.2): each time a server vanishes
-// adds a penalty, which halves with time; over one mark it is held out, and let back in under a lower one.
+// Flap damping after RFC 2439, section 4.2: each time that a server vanishes adds a penalty, which decays
+// exponentially. A server whose penalty exceeds one threshold is suppressed, and used again when the penalty
+// has decayed to a lower one.
 #ifndef TULIPYOKE_SRC_MEMBERSHIP_FLAP_DAMPING_HPP_
 #define TULIPYOKE_SRC_MEMBERSHIP_FLAP_DAMPING_HPP_
 
@@ -7,25 +8,32 @@
 
 namespace tulipyoke::membership {
 
+// Penalties are in withdrawals: one that happens now adds 1.
 struct FlapDampingOptions {
-  double suppress_threshold = 3.5;  // in times that it vanished, freshly counted
-  double reuse_threshold = 1.0;     // below `suppress_threshold`
-  double max_penalty = 8;           // penalties never add up to more, so that the longest hold is bounded
+  double suppress_threshold = 3.5;
+  double reuse_threshold = 1.0;  // below `suppress_threshold`
+  double max_penalty = 8;        // bounds the longest suppression
   Micros half_life = 20'000'000;
 };
 
-struct FlapHistory {
-  double penalty = 0;
-  Micros updated_at = 0;  // when `penalty` was right
-  bool suppressed = false;
-};
+// The flapping of one server. Times are microseconds.
+class FlapHistory {
+ public:
+  // Adds the penalty for one withdrawal. Returns true if the server is suppressed from now on and was not.
+  bool RecordWithdrawal(const FlapDampingOptions& options, Micros now);
+  // Ends the suppression if its time has come.
+  void Update(const FlapDampingOptions& options, Micros now);
+  // When the suppression ends if there is no further withdrawal.
+  Micros ReuseTime(const FlapDampingOptions& options) const;
+  bool suppressed() const { return suppressed_; }
+
+ private:
+  double PenaltyAt(const FlapDampingOptions& options, Micros now) const;
 
-double PenaltyAt(const FlapDampingOptions& options, const FlapHistory& history, Micros now);
-// It vanished once more. True: it is held down by this.
-bool RecordWithdrawal(const FlapDampingOptions& options, FlapHistory& history, Micros now);
-// When a held one is free, as things are; it is not held any more from then on.
-Micros ReuseTime(const FlapDampingOptions& options, const FlapHistory& history);
-void UpdateSuppression(const FlapDampingOptions& options, FlapHistory& history, Micros now);
+  double penalty_ = 0;     // as of `updated_at_`
+  Micros updated_at_ = 0;  // of the last withdrawal
+  bool suppressed_ = false;
+};
 
 }  // namespace tulipyoke::membership
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,90 +1,58 @@
 #include "src/membership/membership.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <set>
 
 namespace tulipyoke::membership {
 namespace {
 
-constexpr Micros kMillisecond = 1000;
+constexpr Micros kMicrosPerMillisecond = 1000;
 
-// A start that is not published, of a server that stood there when its source was first heard.
-constexpr std::int64_t kLongRunningStartMs = 1;
-
-bool Announces(SourceState state) { return state == SourceState::kReady || state == SourceState::kDraining; }
-bool Drains(SourceState state) { return state == SourceState::kVanished || state == SourceState::kDraining; }
+// The start of a process that ran before its source's first listing and whose start was not announced.
+constexpr std::int64_t kLongAgoMs = 1;
 
 }  // namespace
 
-const char* ToText(Reason reason) {
-  switch (reason) {
-    case Reason::kInService:
-      return "in service";
-    case Reason::kAwaitingAdmission:
-      return "waits to be let in";
-    case Reason::kTerminating:
-      return "terminating";
-    case Reason::kVanished:
-      return "vanished";
-    case Reason::kSuppressed:
-      return "held down for flapping";
-  }
-  return "";
-}
-
 Membership::Membership(const Options& options, std::vector<std::string> sources)
     : options_(options),
       sources_(std::move(sources)),
-      source_has_list_(sources_.size(), false),
+      has_listed_(sources_.size(), false),
       admission_(options.admission) {}
 
 void Membership::ApplyListing(Micros now, std::size_t source, const Listing& listing) {
-  Merge(now, source, listing);
-  source_has_list_[source] = true;
+  MergeListing(now, source, listing);
+  has_listed_[source] = true;
   Tick(now);
 }
 
 void Membership::RestoreListing(Micros now, std::size_t source, const Listing& listing) {
-  Merge(now, source, listing);
+  MergeListing(now, source, listing);
 }
 
-void Membership::Merge(Micros now, std::size_t source, const Listing& listing) {
-  if (listing.complete) {
-    std::set<std::string> named;
-    for (const ListedServer& listed : listing.servers) {
-      if (listed.state != ServerState::kGone) named.insert(listed.id);
-    }
-    for (Entry& entry : servers_) {
-      if (Announces(entry.second.records[source].state) && !named.contains(entry.first))
-        ApplyRemoval(now, source, entry);
-    }
-  }
+void Membership::MergeListing(Micros now, std::size_t source, const Listing& listing) {
+  if (listing.complete) WithdrawMissing(now, source, listing);
   for (const ListedServer& listed : listing.servers) {
     if (listed.state != ServerState::kGone) {
-      ApplyAnnouncement(now, source, listed);
-    } else if (const auto it = servers_.find(listed.id); it != servers_.end()) {
-      if (Announces(it->second.records[source].state)) ApplyRemoval(now, source, *it);
+      Announce(now, source, listed);
+      continue;
     }
+    const auto it = servers_.find(listed.id);
+    if (it != servers_.end() && IsAnnounced(it->second.records[source].state)) Withdraw(now, source, *it);
   }
 }
 
-void Membership::RemoveSource(Micros now, std::size_t source) {
+void Membership::WithdrawMissing(Micros now, std::size_t source, const Listing& listing) {
+  std::set<std::string> named;
+  for (const ListedServer& listed : listing.servers) {
+    if (listed.state != ServerState::kGone) named.insert(listed.id);
+  }
   for (Entry& entry : servers_) {
-    SourceRecord& record = entry.second.records[source];
-    if (record.state == SourceState::kUnknown) continue;
-    // Who nobody else names has lost its last word for service, which is no reason to serve on there.
-    record = Announces(record.state) &&
-                     !std::any_of(entry.second.records.begin(), entry.second.records.end(),
-                                  [&](const SourceRecord& c) { return &c != &record && Announces(c.state); })
-                 ? SourceRecord{SourceState::kVanished, record.listed, now}
-                 : SourceRecord();
-    Evaluate(now, entry);
+    const bool announced = IsAnnounced(entry.second.records[source].state);
+    if (announced && !named.contains(entry.first)) Withdraw(now, source, entry);
   }
-  source_has_list_[source] = false;
-  Tick(now);
 }
 
-void Membership::ApplyAnnouncement(Micros now, std::size_t source, const ListedServer& listed) {
+void Membership::Announce(Micros now, std::size_t source, const ListedServer& listed) {
   if (!servers_.contains(listed.id) && servers_.size() >= options_.max_servers) {
     ++counters_.over_limit;
     return;
@@ -94,245 +62,207 @@
   const bool first_seen = server.records.empty();
   server.records.resize(sources_.size());
   SourceRecord& record = server.records[source];
-  const SourceState before = record.state;
+  const SourceState previous = record.state;
   const SourceState state =
       listed.state == ServerState::kReady ? SourceState::kReady : SourceState::kDraining;
-  if (state != before) record.since = now;
+  if (state != previous) record.since = now;
   record.state = state;
   record.listed = listed;
-  DetectRestart(now, source, server, before);
-  // What a source knew from the start has served for a while unless it says otherwise; the rest waits.
-  const bool started_now = server.start_ms * kMillisecond > now - options_.warm_up_time;
-  if (first_seen && !source_has_list_[source] && !started_now) {
-    server.admitted = true;
-    if (server.start_ms == 0) server.start_ms = kLongRunningStartMs;
-  }
-  if (before == SourceState::kVanished && state == SourceState::kReady) ++counters_.returned;
+  TrackProcess(now, source, previous, server);
+  if (first_seen && !has_listed_[source]) AssumeAdmitted(now, server);
+  if (previous == SourceState::kVanished && state == SourceState::kReady) ++counters_.returned;
   Evaluate(now, entry);
 }
 
-void Membership::ApplyRemoval(Micros now, std::size_t source, Entry& entry) {
-  SourceRecord& record = entry.second.records[source];
-  // Who was draining was expected to go.
-  if (record.state == SourceState::kReady &&
-      RecordWithdrawal(options_.flap_damping, entry.second.flap_history, now)) {
-    ++counters_.suppressed;
-  }
+void Membership::Withdraw(Micros now, std::size_t source, Entry& entry) {
+  Server& server = entry.second;
+  SourceRecord& record = server.records[source];
+  // A draining server was expected to go; that is no flapping.
+  const bool unexpected = record.state == SourceState::kReady;
+  if (unexpected && server.flap_history.RecordWithdrawal(options_.flap_damping, now)) ++counters_.suppressed;
   record.state = SourceState::kVanished;
   record.since = now;
   ++counters_.vanished;
   Evaluate(now, entry);
 }
 
-const Membership::SourceRecord* Membership::AuthoritativeRecord(const Server& server) const {
-  const SourceRecord* last = nullptr;
-  for (const SourceRecord& record : server.records) {
-    if (Announces(record.state)) return &record;
-    if (record.state == SourceState::kVanished && (!last || record.since > last->since)) last = &record;
-  }
-  return last;
+void Membership::TrackProcess(Micros now, std::size_t source, SourceState previous, Server& server) {
+  const ProcessChange change = DetectRestart(now, server.records, source, previous, server.process);
+  if (change.restarted) ++counters_.restarts;
+  if (change.moved) ++counters_.moved;
 }
 
-bool Membership::IsAnnounced(const Server& server) const {
-  return std::any_of(server.records.begin(), server.records.end(),
-                     [](const SourceRecord& record) { return Announces(record.state); });
+// A source's first listing names servers that have been in service for a while, unless it says otherwise;
+// only servers that appear later wait for admission.
+void Membership::AssumeAdmitted(Micros now, Server& server) {
+  const bool cold = server.process.start_ms * kMicrosPerMillisecond > now - options_.warm_up_time;
+  if (cold) return;
+  server.admitted = true;
+  if (server.process.start_ms == 0) server.process.start_ms = kLongAgoMs;
 }
 
-// A process that just started must not be taken for the warm one that had its name before: in doubt it is
-// new.
-void Membership::DetectRestart(Micros now, std::size_t source, Server& server, SourceState before) {
-  const SourceRecord& record = server.records[source];
-  const SourceRecord& authoritative = *AuthoritativeRecord(server);
-  const bool known = !server.address.empty();
-  const bool moved = known && authoritative.listed.address != server.address;
-  if (record.listed.started_unix_ms > server.announced_start_ms) {
-    if (known && record.listed.started_unix_ms > server.start_ms) ++counters_.restarts;
-    server.start_ms = std::max(server.start_ms, record.listed.started_unix_ms);
-    server.announced_start_ms = record.listed.started_unix_ms;
-    // Another source's word that the former process has gone says nothing of this one.
-    for (SourceRecord& other : server.records) {
-      if (other.state == SourceState::kVanished && other.since <= server.announced_start_ms * kMillisecond) {
-        other.state = SourceState::kUnknown;
-      }
+void Membership::RemoveSource(Micros now, std::size_t source) {
+  for (Entry& entry : servers_) {
+    SourceRecords& records = entry.second.records;
+    SourceRecord removed = std::exchange(records[source], SourceRecord());
+    if (removed.state == SourceState::kUnknown) continue;
+    // A server that no other source announces has lost its last announcement and must not serve on.
+    if (IsAnnounced(removed.state) && !IsAnnouncedByAny(records)) {
+      records[source] = {SourceState::kVanished, std::move(removed.listed), now};
     }
-  } else if (moved || (before == SourceState::kVanished && record.listed.started_unix_ms == 0)) {
-    ++counters_.restarts;
-    server.start_ms = now / kMillisecond;
+    Evaluate(now, entry);
   }
-  if (moved) ++counters_.moved;
-  server.address = authoritative.listed.address;
+  has_listed_[source] = false;
+  Tick(now);
 }
 
-// Holding down must not empty a set: where as many are held as are left, the flapping is not the servers'.
-bool Membership::IsSuppressed(const Server& server) const {
-  if (!server.flap_history.suppressed) return false;
-  const auto count = groups_.find(AuthoritativeRecord(server)->listed.group);
-  return count != groups_.end() && count->second.ready > count->second.suppressed;
+void Membership::Evaluate(Micros now, Entry& entry) {
+  auto& [id, server] = entry;
+  server.flap_history.Update(options_.flap_damping, now);
+  if (!AuthoritativeRecord(server.records)) {
+    Publish(server, std::nullopt);
+    wakeups_.Set(id, now);
+    return;
+  }
+  UpdateConflict(server);
+  Reason reason = DecideReason(server);
+  if (reason == Reason::kAwaitingAdmission && server.published) {
+    // It is still listed as draining: a server that returns is not a new one.
+    server.admitted = true;
+    reason = Reason::kInService;
+  }
+  SetReason(now, server, reason);
+  UpdateAdmissionQueue(id, server);
+  server.vanish_timer.Update(reason == Reason::kVanished, now);
+  Publish(server, ListingFor(now, server));
+  wakeups_.Set(id, NextEvaluation(now, server));
+}
+
+void Membership::UpdateConflict(Server& server) {
+  const bool conflicting = IsConflicting(server.records);
+  if (conflicting && !server.conflicting) ++counters_.conflicts;
+  server.conflicting = conflicting;
 }
 
 Reason Membership::DecideReason(const Server& server) const {
-  const auto says = [&](SourceState state) {
-    return std::any_of(server.records.begin(), server.records.end(),
-                       [&](const SourceRecord& record) { return record.state == state; });
-  };
-  if (says(SourceState::kVanished)) return Reason::kVanished;
-  if (says(SourceState::kDraining)) return Reason::kTerminating;
-  if (IsSuppressed(server)) return Reason::kSuppressed;
+  if (HasState(server.records, SourceState::kVanished)) return Reason::kVanished;
+  if (HasState(server.records, SourceState::kDraining)) return Reason::kTerminating;
+  const int group = AuthoritativeRecord(server.records)->listed.group;
+  if (server.flap_history.suppressed() && groups_.MaySuppress(group)) return Reason::kSuppressed;
   return server.admitted ? Reason::kInService : Reason::kAwaitingAdmission;
 }
 
 void Membership::SetReason(Micros now, Server& server, Reason reason) {
-  if (server.reason == reason && server.since != 0) return;
-  if (server.reason == Reason::kSuppressed) --groups_[server.suppressed_group].suppressed;
-  server.suppressed_group = AuthoritativeRecord(server)->listed.group;
-  if (reason == Reason::kSuppressed) ++groups_[server.suppressed_group].suppressed;
+  if (server.reason == reason && server.reason_since) return;
+  if (server.reason == Reason::kSuppressed) groups_.RemoveSuppressed(server.suppressed_group);
+  server.suppressed_group = AuthoritativeRecord(server.records)->listed.group;
+  if (reason == Reason::kSuppressed) groups_.AddSuppressed(server.suppressed_group);
   server.reason = reason;
-  server.since = now;
+  server.reason_since = now;
 }
 
-void Membership::Evaluate(Micros now, Entry& entry) {
-  Server& server = entry.second;
-  UpdateSuppression(options_.flap_damping, server.flap_history, now);
-  const SourceRecord* authoritative = AuthoritativeRecord(server);
-  if (!authoritative) {  // no source says anything of it any more
-    Publish(entry, std::nullopt);
-    ScheduleWakeup(entry, now);
-    return;
-  }
-  const bool drained = std::any_of(server.records.begin(), server.records.end(),
-                                   [](const SourceRecord& record) { return Drains(record.state); });
-  const bool ready =
-      std::any_of(server.records.begin(), server.records.end(),
-                  [](const SourceRecord& record) { return record.state == SourceState::kReady; });
-  if (drained && ready && !server.conflicting) ++counters_.conflicts;
-  server.conflicting = drained && ready;
+void Membership::UpdateAdmissionQueue(const std::string& id, Server& server) {
+  std::optional<int> group;
+  if (server.reason == Reason::kAwaitingAdmission) group = AuthoritativeRecord(server.records)->listed.group;
+  if (server.queued_group == group) return;
+  if (server.queued_group) admission_.Remove(id, *server.queued_group);
+  if (group) admission_.Enqueue(id, *group);
+  server.queued_group = group;
+}
 
-  Reason reason = DecideReason(server);
-  if (reason == Reason::kAwaitingAdmission && server.published) {
-    // It is on the list already, draining: coming back, it is no newcomer.
-    server.admitted = true;
-    reason = Reason::kInService;
-  }
-  const Reason was = server.reason;
-  SetReason(now, server, reason);
-  const int group = authoritative->listed.group;
-  if (server.queued_group >= 0 && (reason != Reason::kAwaitingAdmission || server.queued_group != group)) {
-    admission_.Remove(entry.first, std::exchange(server.queued_group, -1));
-  }
-  if (reason == Reason::kAwaitingAdmission && server.queued_group < 0) {
-    admission_.Enqueue(entry.first, group);
-    server.queued_group = group;
-  }
+// A server that is not in service is listed only if it was before, so that its requests can finish.
+std::optional<ListedServer> Membership::ListingFor(Micros now, const Server& server) const {
+  const bool in_service = server.reason == Reason::kInService;
+  const bool drains = server.published && server.vanish_timer.IsListed(options_.vanish, now);
+  if (!in_service && !drains) return std::nullopt;
+  ListedServer listed = AuthoritativeRecord(server.records)->listed;
+  listed.started_unix_ms = server.process.start_ms;
+  listed.state = in_service ? ServerState::kReady : ServerState::kDraining;
+  return listed;
+}
 
-  ListedServer listed = authoritative->listed;
-  listed.started_unix_ms = server.start_ms;
-  listed.state = reason == Reason::kInService ? ServerState::kReady : ServerState::kDraining;
-  if (reason != Reason::kVanished) {
-    server.vanished_at = 0;
-  } else if (server.vanished_at == 0 || was != Reason::kVanished) {
-    server.vanished_at = now;
-  }
-  const bool still_listed = reason != Reason::kVanished || now < server.vanished_at + options_.removal_delay;
-  if (reason == Reason::kInService || (server.published && still_listed)) {
-    Publish(entry, listed);
-  } else {
-    Publish(entry, std::nullopt);
-  }
-  if (reason == Reason::kVanished) {
-    ScheduleWakeup(entry, server.vanished_at + (still_listed ? options_.removal_delay
-                                                             : options_.removal_delay + options_.retention));
-  } else if (server.flap_history.suppressed) {
-    ScheduleWakeup(entry, std::max(now + 1, ReuseTime(options_.flap_damping, server.flap_history)));
-  } else {
-    ScheduleWakeup(entry, 0);
-  }
+std::optional<Micros> Membership::NextEvaluation(Micros now, const Server& server) const {
+  if (server.reason == Reason::kVanished) return server.vanish_timer.NextChange(options_.vanish, now);
+  if (!server.flap_history.suppressed()) return std::nullopt;
+  return std::max(now + 1, server.flap_history.ReuseTime(options_.flap_damping));
 }
 
-void Membership::Publish(Entry& entry, std::optional<ListedServer> listed) {
-  Server& server = entry.second;
+void Membership::Publish(Server& server, std::optional<ListedServer> listed) {
   if (server.published == listed) return;
-  const auto count = [&](const std::optional<ListedServer>& published, int step) {
-    if (published && published->state == ServerState::kReady)
-      groups_[published->group].ready += static_cast<std::size_t>(step);
-  };
-  // Another set or another place: what the old one has shown, its position in the log above all, must not be
-  // believed of the new one. Gone first, it gets a new number there.
-  if (server.published &&
-      (!listed || listed->group != server.published->group || listed->address != server.published->address)) {
-    changes_.push_back(*server.published);
+  const std::optional<ListedServer> before = std::exchange(server.published, std::move(listed));
+  const std::optional<ListedServer>& after = server.published;
+  // What is known of a server, such as its replication position, must not be carried over to another group or
+  // address: it is removed first and added as a new one.
+  if (before && (!after || after->group != before->group || after->address != before->address)) {
+    changes_.push_back(*before);
     changes_.back().state = ServerState::kGone;
   }
-  count(server.published, -1);
-  count(listed, 1);
-  if (!listed) server.admitted = false;
-  server.published = std::move(listed);
-  if (server.published) changes_.push_back(*server.published);
+  if (before && before->state == ServerState::kReady) groups_.RemoveInService(before->group);
+  if (after && after->state == ServerState::kReady) groups_.AddInService(after->group);
+  if (after) {
+    changes_.push_back(*after);
+  } else {
+    server.admitted = false;
+  }
 }
 
-void Membership::ScheduleWakeup(Entry& entry, Micros when) {
+void Membership::Tick(Micros now) {
+  while (const std::optional<std::string> id = wakeups_.PopDue(now)) Wake(now, *servers_.find(*id));
+  ReleaseOverSuppressed(now);
+  AdmitWaiting(now);
+}
+
+void Membership::Wake(Micros now, Entry& entry) {
+  if (IsForgotten(now, entry.second)) return Forget(entry);
+  Evaluate(now, entry);
+  // Another source still announces it: it stays drained until one of the sources changes its record.
+  const std::optional<Micros> next = wakeups_.TimeOf(entry.first);
+  if (next && *next <= now) wakeups_.Set(entry.first, std::nullopt);
+}
+
+bool Membership::IsForgotten(Micros now, const Server& server) const {
+  if (!AuthoritativeRecord(server.records)) return true;
+  return !IsAnnouncedByAny(server.records) && server.vanish_timer.IsExpired(options_.vanish, now);
+}
+
+void Membership::Forget(Entry& entry) {
   Server& server = entry.second;
-  if (server.wakeup == when) return;
-  if (server.wakeup != 0) wakeups_.erase({server.wakeup, entry.first});
-  server.wakeup = when;
-  if (when != 0) wakeups_.emplace(when, entry.first);
+  Publish(server, std::nullopt);
+  if (server.queued_group) admission_.Remove(entry.first, *server.queued_group);
+  if (server.reason == Reason::kSuppressed) groups_.RemoveSuppressed(server.suppressed_group);
+  const std::string id = entry.first;
+  servers_.erase(id);
+  groups_.RemoveEmpty();
 }
 
-void Membership::Tick(Micros now) {
-  while (!wakeups_.empty() && wakeups_.begin()->first <= now) {
-    const auto it = servers_.find(wakeups_.begin()->second);
-    wakeups_.erase(wakeups_.begin());
-    it->second.wakeup = 0;
-    Server& server = it->second;
-    const bool over = !AuthoritativeRecord(server) ||
-                      (server.reason == Reason::kVanished && !IsAnnounced(server) &&
-                       now >= server.vanished_at + options_.removal_delay + options_.retention);
-    if (!over) {
-      Evaluate(now, *it);
-      // Another source names it still: the drain holds until one of them says more.
-      if (it->second.wakeup != 0 && it->second.wakeup <= now) ScheduleWakeup(*it, 0);
-      continue;
-    }
-    Publish(*it, std::nullopt);
-    if (server.queued_group >= 0) admission_.Remove(it->first, server.queued_group);
-    if (server.reason == Reason::kSuppressed) --groups_[server.suppressed_group].suppressed;
-    servers_.erase(it);
-    std::erase_if(groups_,
-                  [](const auto& item) { return item.second.ready == 0 && item.second.suppressed == 0; });
+// Where more servers of a group are suppressed than may be, they are evaluated again: the others must not
+// carry the whole load.
+void Membership::ReleaseOverSuppressed(Micros now) {
+  const std::set<int> groups = groups_.OverSuppressed();
+  if (groups.empty()) return;
+  for (Entry& entry : servers_) {
+    const Server& server = entry.second;
+    if (server.reason != Reason::kSuppressed) continue;
+    if (groups.contains(AuthoritativeRecord(server.records)->listed.group)) Evaluate(now, entry);
   }
-  ReleaseSuppressed(now);
-  AdmitWaiting(now);
 }
 
 void Membership::AdmitWaiting(Micros now) {
-  const auto ready = [&](int group) {
-    const auto it = groups_.find(group);
-    return it == groups_.end() ? std::size_t{0} : it->second.ready;
-  };
-  while (const auto id = admission_.AdmitNext(now, ready)) {
+  const auto in_service = [this](int group) { return groups_.InService(group); };
+  while (const std::optional<std::string> id = admission_.AdmitNext(now, in_service)) {
     Entry& entry = *servers_.find(*id);
-    entry.second.queued_group = -1;
+    entry.second.queued_group.reset();
     entry.second.admitted = true;
     ++counters_.admitted;
     Evaluate(now, entry);
   }
 }
 
-void Membership::ReleaseSuppressed(Micros now) {
-  std::set<int> short_groups;
-  for (const auto& [group, count] : groups_) {
-    if (count.suppressed > 0 && count.ready <= count.suppressed) short_groups.insert(group);
-  }
-  if (short_groups.empty()) return;
-  for (Entry& entry : servers_) {
-    const bool held = entry.second.reason == Reason::kSuppressed;
-    if (held && short_groups.contains(AuthoritativeRecord(entry.second)->listed.group)) Evaluate(now, entry);
-  }
-}
-
 std::optional<Micros> Membership::NextDue() const {
-  std::optional<Micros> due = admission_.NextDue();
-  if (!wakeups_.empty() && (!due || wakeups_.begin()->first < *due)) due = wakeups_.begin()->first;
-  return due;
+  const std::optional<Micros> admission = admission_.NextDue();
+  const std::optional<Micros> wakeup = wakeups_.NextDue();
+  if (!admission || !wakeup) return admission ? admission : wakeup;
+  return std::min(*admission, *wakeup);
 }
 
 std::optional<Listing> Membership::TakeListing() {
@@ -344,19 +274,19 @@
 }
 
 std::vector<ServerView> Membership::View() const {
-  std::vector<ServerView> view;
+  std::vector<ServerView> views;
   for (const auto& [id, server] : servers_) {
-    const SourceRecord* authoritative = AuthoritativeRecord(server);
+    const SourceRecord* authoritative = AuthoritativeRecord(server.records);
     if (!authoritative) continue;
-    ServerView row{authoritative->listed, server.reason, {}, server.since};
-    row.listed.started_unix_ms = server.start_ms;
+    ServerView view{authoritative->listed, server.reason, {}, server.reason_since.value_or(0)};
+    view.listed.started_unix_ms = server.process.start_ms;
     for (std::size_t i = 0; i < server.records.size(); ++i) {
       const SourceState state = server.records[i].state;
-      if (state != SourceState::kUnknown) row.sources.push_back((Drains(state) ? "-" : "") + sources_[i]);
+      if (state != SourceState::kUnknown) view.sources.push_back((IsDrained(state) ? "-" : "") + sources_[i]);
     }
-    view.push_back(std::move(row));
+    views.push_back(std::move(view));
   }
-  return view;
+  return views;
 }
 
 }  // namespace tulipyoke::membership
--- a/tests/membership/event_oracle_test.cpp
+++ b/tests/membership/event_oracle_test.cpp
@@ -273,8 +273,8 @@
 
 TEST(EventOracle, QuickSuppressionAndShortMemoryEmitTheRecordedSequence) {
   Options options;
-  options.removal_delay = 3 * kSecond;
-  options.retention = 5 * kSecond;
+  options.vanish.removal_delay = 3 * kSecond;
+  options.vanish.retention = 5 * kSecond;
   options.warm_up_time = 4 * kSecond;
   options.flap_damping.suppress_threshold = 1.5;
   options.flap_damping.reuse_threshold = 0.5;
--- /dev/null
+++ b/tests/membership/restart_detection_test.cpp
@@ -0,0 +1,61 @@
+// When an announcement shows that there is a new process.
+#include "src/membership/restart_detection.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace tulipyoke::membership {
+namespace {
+
+constexpr Micros kNow = 1'700'000'000'000'000;
+constexpr std::int64_t kNowMs = kNow / 1000;
+
+SourceRecord RecordOf(const std::string& address, std::int64_t start_ms) {
+  SourceRecord record;
+  record.state = SourceState::kReady;
+  record.listed.address = address;
+  record.listed.started_unix_ms = start_ms;
+  record.since = kNow;
+  return record;
+}
+
+TEST(RestartDetection, TheFirstAnnouncementIsNoRestart) {
+  SourceRecords records = {RecordOf("a:1", 1000)};
+  ProcessIdentity process;
+  const ProcessChange change = DetectRestart(kNow, records, 0, SourceState::kUnknown, process);
+  EXPECT_FALSE(change.restarted);
+  EXPECT_FALSE(change.moved);
+  EXPECT_EQ(process.address, "a:1");
+  EXPECT_EQ(process.start_ms, 1000);
+}
+
+TEST(RestartDetection, ALaterStartTimeDiscardsRecordsOfTheFormerProcess) {
+  SourceRecords records = {RecordOf("a:1", kNowMs), RecordOf("a:1", 1000)};
+  records[1].state = SourceState::kVanished;
+  records[1].since = kNow - 1;
+  ProcessIdentity process{"a:1", 1000, 1000};
+  EXPECT_TRUE(DetectRestart(kNow, records, 0, SourceState::kReady, process).restarted);
+  EXPECT_EQ(process.start_ms, kNowMs);
+  EXPECT_EQ(records[1].state, SourceState::kUnknown);
+}
+
+TEST(RestartDetection, AnotherAddressIsAProcessThatStartsNow) {
+  SourceRecords records = {RecordOf("a:2", 1000)};
+  ProcessIdentity process{"a:1", 1000, 1000};
+  const ProcessChange change = DetectRestart(kNow, records, 0, SourceState::kReady, process);
+  EXPECT_TRUE(change.restarted);
+  EXPECT_TRUE(change.moved);
+  EXPECT_EQ(process.start_ms, kNowMs);
+}
+
+TEST(RestartDetection, AReturnIsARestartOnlyWithoutAStartTime) {
+  SourceRecords records = {RecordOf("a:1", 1000)};
+  ProcessIdentity process{"a:1", 1000, 1000};
+  EXPECT_FALSE(DetectRestart(kNow, records, 0, SourceState::kVanished, process).restarted);
+  records[0].listed.started_unix_ms = 0;
+  EXPECT_TRUE(DetectRestart(kNow, records, 0, SourceState::kVanished, process).restarted);
+}
+
+}  // namespace
+}  // namespace tulipyoke::membership
