--- a/src/config/membership_config.hpp
+++ b/src/config/membership_config.hpp
@@ -1,8 +1,9 @@
-// The part of the configuration that says where the list of servers comes from: `membership`. Without it the
-// platform's registry is the one source, and its word is passed on as it comes.
+// The part `membership` of the configuration: the sources of the list of servers, and how they are combined.
+// Without it the platform's registry is the only source and its listings are used as they come.
 #ifndef TULIPYOKE_SRC_CONFIG_MEMBERSHIP_CONFIG_HPP_
 #define TULIPYOKE_SRC_CONFIG_MEMBERSHIP_CONFIG_HPP_
 
+#include <cstddef>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
@@ -16,28 +17,34 @@
 
 namespace tulipyoke {
 
+// A DNS-SD zone and the resolvers that are queried for it.
 struct DnsSdSource {
   dnssd::ZoneOptions zone;
   dnssd::RetryOptions retries;
   std::vector<std::string> resolvers;  // addresses with ports
 };
+
 struct SourceConfig {
   enum class Kind { kRegistry, kStatic, kDnsSd };
+
   std::string name;
   Kind kind = Kind::kRegistry;
   Listing static_listing;  // of a static source
-  DnsSdSource dns_sd;
+  DnsSdSource dns_sd;      // of a DNS-SD source
 };
+
 struct MembershipConfig {
-  std::vector<SourceConfig> sources;  // in the order of their weight; empty: this is off
+  std::vector<SourceConfig> sources;  // in the order of precedence
   membership::Options options;
 
+  // False if the configuration has no such part.
   bool on() const { return !sources.empty(); }
-  // The registry's place among the sources; none where it is not a source.
+  // The index of the registry among the sources; none if it is not a source.
   std::optional<std::size_t> RegistryIndex() const;
 };
 
-// Throws ConfigError with the path of what is wrong.
+// `path` is that of the JSON value in the document. Deadlines and the drain timeout of the settings bound how
+// long vanished servers stay listed. Throws ConfigError.
 MembershipConfig ParseMembershipConfig(const nlohmann::json& json, const std::string& path,
                                        const Settings& settings);
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,62 +1,89 @@
 #include "src/config/settings.hpp"
 
 #include <charconv>
+#include <cstddef>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
+
+#include "src/config/choice.hpp"
 
 namespace tulipyoke {
 namespace {
 
-constexpr std::int64_t kMostListItems = 4096;
+constexpr std::int64_t kMaxListItems = 4096;
+// Numbers beyond are not converted to integers.
+constexpr double kMaxInteger = 9e18;
+
+// Parsers of single values; the path is for the error.
+double ParseNumber(const std::string& path, std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    throw SettingsError(SettingsFault::kNotANumber, path, std::string(text));
+  }
+  return value;
+}
+
+std::int64_t ParseInteger(const std::string& path, std::string_view text) {
+  const double value = ParseNumber(path, text);
+  const bool in_range = value > -kMaxInteger && value < kMaxInteger;  // false for NaN
+  if (!in_range) throw SettingsError(SettingsFault::kNotANumber, path, std::string(text));
+  return static_cast<std::int64_t>(value);
+}
+
+template <typename T>
+T ParseChoice(const std::string& path, std::string_view text, std::initializer_list<Choice<T>> choices) {
+  for (const Choice<T>& choice : choices) {
+    if (choice.name == text) return choice.value;
+  }
+  throw SettingsError(SettingsFault::kUnknownValue, path, std::string(text));
+}
+
+Freshness ParseFreshness(const std::string& path, std::string_view text) {
+  return ParseChoice<Freshness>(path, text,
+                                {{"loose", Freshness::kAny},
+                                 {"recent", Freshness::kBounded},
+                                 {"own_writes", Freshness::kSession},
+                                 {"latest", Freshness::kFresh},
+                                 {"update", Freshness::kWrite}});
+}
 
-// Typed look-ups by path, with a message that names the path where its value cannot be.
-class Table {
+// Typed access to the table. A setting that is missing or empty has its default.
+class TableReader {
  public:
-  explicit Table(const SettingsTable& pairs) : pairs_(pairs) {}
+  explicit TableReader(const SettingsTable& table) : table_(table) {}
 
   std::string_view Text(const std::string& path) const {
-    const auto it = pairs_.find(path);
-    return it == pairs_.end() ? std::string_view() : std::string_view(it->second);
+    const auto it = table_.find(path);
+    return it == table_.end() ? std::string_view() : std::string_view(it->second);
   }
-  double Number(const std::string& path, double missing = 0) const {
+  double Number(const std::string& path, double default_value = 0) const {
     const std::string_view text = Text(path);
-    return text.empty() ? missing : NumberOf(path, text);
+    return text.empty() ? default_value : ParseNumber(path, text);
   }
-  std::int64_t Whole(const std::string& path) const {
+  std::int64_t Integer(const std::string& path) const {
     const std::string_view text = Text(path);
-    return text.empty() ? 0 : WholeOf(path, text);
-  }
-  static double NumberOf(const std::string& path, std::string_view text) {
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size()) Wrong(path, text);
-    return value;
-  }
-  static std::int64_t WholeOf(const std::string& path, std::string_view text) {
-    const double value = NumberOf(path, text);
-    if (!(value > -9e18 && value < 9e18)) Wrong(path, text);
-    return static_cast<std::int64_t>(value);
+    return text.empty() ? 0 : ParseInteger(path, text);
   }
   std::int64_t Count(const std::string& path) const {
-    const std::int64_t count = Whole(path);
-    if (count < 0 || count > kMostListItems) Wrong(path, Text(path));
+    const std::int64_t count = Integer(path);
+    if (count < 0 || count > kMaxListItems) {
+      throw SettingsError(SettingsFault::kNotANumber, path, std::string(Text(path)));
+    }
     return count;
   }
-  bool Flag(const std::string& path) const { return Word<bool>(path, {{"false", false}, {"true", true}}); }
-  template <typename T>
-  T Word(const std::string& path, std::initializer_list<std::pair<std::string_view, T>> words) const {
-    const std::string_view text = Text(path);
-    return text.empty() ? words.begin()->second : Choose(path, text, words);
+  bool Flag(const std::string& path) const {
+    return ChoiceOf<bool>(path, {{"false", false}, {"true", true}});
   }
+  // The first of the choices is the default.
   template <typename T>
-  static T Choose(const std::string& path, std::string_view text,
-                  std::initializer_list<std::pair<std::string_view, T>> words) {
-    for (const auto& [word, value] : words) {
-      if (word == text) return value;
-    }
-    throw SettingsError("setting " + path + " has a value that is not known: " + std::string(text));
+  T ChoiceOf(const std::string& path, std::initializer_list<Choice<T>> choices) const {
+    const std::string_view text = Text(path);
+    return text.empty() ? choices.begin()->value : ParseChoice<T>(path, text, choices);
   }
   std::vector<std::string> List(const std::string& path) const {
     std::vector<std::string> items;
@@ -70,96 +97,124 @@
   }
 
  private:
-  [[noreturn]] static void Wrong(const std::string& path, std::string_view text) {
-    throw SettingsError("setting " + path + " is not a possible number: " + std::string(text));
-  }
-  const SettingsTable& pairs_;
+  const SettingsTable& table_;
 };
 
-ClassSettings ParseClass(const Table& pairs, const std::string& path) {
+ClassSettings ReadClass(const TableReader& reader, const std::string& path) {
   ClassSettings result;
-  result.name = pairs.Text(path + "name");
-  result.aim = pairs.Whole(path + "aim");
-  result.deadline = pairs.Whole(path + "deadline");
-  result.worth = pairs.Number(path + "worth");
-  result.late_worth = pairs.Number(path + "late_worth");
-  result.effect = pairs.Word<Effect>(
+  result.name = reader.Text(path + "name");
+  result.aim = reader.Integer(path + "aim");
+  result.deadline = reader.Integer(path + "deadline");
+  result.worth = reader.Number(path + "worth");
+  result.late_worth = reader.Number(path + "late_worth");
+  result.effect = reader.ChoiceOf<Effect>(
       path + "semantics",
       {{"free", Effect::kSafe}, {"guarded", Effect::kKeyed}, {"single_shot", Effect::kUnsafe}});
-  result.repeat_group = pairs.Word<RepeatGroup>(
+  result.repeat_group = reader.ChoiceOf<RepeatGroup>(
       path + "group",
       {{"all", RepeatGroup::kAll}, {"zone", RepeatGroup::kZone}, {"cell", RepeatGroup::kCell}});
-  result.repeat_window = pairs.Whole(path + "window");
-  result.stream = pairs.Flag(path + "stream");
+  result.repeat_window = reader.Integer(path + "window");
+  result.stream = reader.Flag(path + "stream");
   return result;
 }
 
-Freshness ParseFreshness(std::string_view word) {
-  return Table::Choose<Freshness>("domain.freshness", word,
-                                  {{"loose", Freshness::kAny},
-                                   {"recent", Freshness::kBounded},
-                                   {"own_writes", Freshness::kSession},
-                                   {"latest", Freshness::kFresh},
-                                   {"update", Freshness::kWrite}});
+void ReadClasses(const TableReader& reader, Settings& s) {
+  const std::string freshness_path = "domain.freshness";
+  const std::string bound_path = "domain.lag_allowed";
+  const std::vector<std::string> freshness = reader.List(freshness_path);
+  const std::vector<std::string> bounds = reader.List(bound_path);
+  const auto count = static_cast<std::size_t>(reader.Count("services.count"));
+  for (std::size_t i = 0; i < count; ++i) {
+    ClassSettings result = ReadClass(reader, "services." + std::to_string(i) + ".");
+    if (i < freshness.size()) result.freshness = ParseFreshness(freshness_path, freshness[i]);
+    if (i < bounds.size()) result.bound = ParseInteger(bound_path, bounds[i]);
+    s.classes.push_back(std::move(result));
+  }
 }
 
-}  // namespace
-
-Settings SettingsFromTable(const SettingsTable& table) {
-  const Table pairs(table);
-  Settings s;
-  const std::vector<std::string> freshness = pairs.List("domain.freshness");
-  const std::vector<std::string> bounds = pairs.List("domain.lag_allowed");
-  const std::int64_t classes = pairs.Count("services.count");
-  for (std::int64_t i = 0; i < classes; ++i) {
-    ClassSettings c = ParseClass(pairs, "services." + std::to_string(i) + ".");
-    const auto at = static_cast<std::size_t>(i);
-    if (at < freshness.size()) c.freshness = ParseFreshness(freshness[at]);
-    if (at < bounds.size()) c.bound = Table::WholeOf("domain.lag_allowed", bounds[at]);
-    s.classes.push_back(std::move(c));
-  }
-  const std::int64_t tenants = pairs.Count("realms.count");
-  for (std::int64_t i = 0; i < tenants; ++i) {
+void ReadTenants(const TableReader& reader, Settings& s) {
+  const std::int64_t count = reader.Count("realms.count");
+  for (std::int64_t i = 0; i < count; ++i) {
     const std::string path = "realms." + std::to_string(i) + ".";
-    s.tenants.push_back({std::string(pairs.Text(path + "name")), pairs.Number(path + "quota_per_s"),
-                         pairs.Number(path + "fraction")});
+    s.tenants.push_back({std::string(reader.Text(path + "name")), reader.Number(path + "quota_per_s"),
+                         reader.Number(path + "fraction")});
   }
-  s.guards = pairs.Word<Guards>(
+}
+
+void ReadConsistency(const TableReader& reader, Settings& s) {
+  s.guards = reader.ChoiceOf<Guards>(
       "domain.guards", {{"off", Guards::kOff}, {"reject", Guards::kRefuse}, {"hold", Guards::kHold}});
-  s.catch_up_wait = pairs.Whole("domain.catch_up_wait");
-  s.token_mode = pairs.Word<TokenMode>("domain.token_mode",
-                                       {{"router", TokenMode::kRemembered}, {"client", TokenMode::kCarried}});
-  s.listed_role = pairs.Word<ListedRole>(
+  s.catch_up_wait = reader.Integer("domain.catch_up_wait");
+  s.token_mode = reader.ChoiceOf<TokenMode>(
+      "domain.token_mode", {{"router", TokenMode::kRemembered}, {"client", TokenMode::kCarried}});
+  s.listed_role = reader.ChoiceOf<ListedRole>(
       "domain.role_listed",
       {{"off", ListedRole::kNone}, {"initial", ListedRole::kStart}, {"delayed", ListedRole::kLate}});
-  s.origin = pairs.Whole("domain.origin_time");
-  s.ask_for_list = pairs.Word<bool>("discovery", {{"push", false}, {"ask", true}});
-  s.reports = pairs.Word<ReportVia>(
+  s.origin = reader.Integer("domain.origin_time");
+}
+
+void ReadReports(const TableReader& reader, Settings& s) {
+  s.ask_for_list = reader.ChoiceOf<bool>("discovery", {{"push", false}, {"ask", true}});
+  s.reports = reader.ChoiceOf<ReportVia>(
       "stats.via",
       {{"off", ReportVia::kOff}, {"inline", ReportVia::kAnswers}, {"on_probe", ReportVia::kProbe}});
-  s.report_fields = pairs.List("stats.fields");
-  s.may_cancel = pairs.Flag("policy_limits.cancel");
-  s.may_probe = pairs.Flag("policy_limits.probes");
-  s.second_copies = pairs.Flag("policy_limits.second_copies");
-  s.retry_after = pairs.Flag("policy_limits.retry_after");
-  s.max_retry_after = pairs.Whole("policy_limits.max_retry_after");
-  s.max_attempts = static_cast<int>(pairs.Count("policy_limits.most_tries"));
-  s.answer_slack = pairs.Whole("rules.answer_slack");
-  s.ask_within = pairs.Whole("rules.ask_within");
-  s.cold_from = pairs.Number("rules.cold_from");
-  s.warm_after = pairs.Whole("rules.warm_after");
-  s.fall_multiple = pairs.Number("rules.tip_multiple");
-  s.fall = pairs.Whole("rules.fall");
-  s.drain_grace = pairs.Whole("rules.drain_grace");
-  s.only_draining_binds = pairs.Flag("rules.dropped_stay_open");
-  s.over_share_worth = pairs.Number("over_share_worth", 1);
-  s.probe_price = pairs.Number("prices.probe");
-  s.cross_zone_price = pairs.Number("prices.cross_zone");
-  s.waste_price = pairs.Number("prices.waste");
-  s.tick = pairs.Whole("quantum");
-  s.gateways = static_cast<int>(pairs.Count("n_instances"));
-  s.me = static_cast<int>(pairs.Count("me"));
-  s.zone = static_cast<int>(pairs.Count("zone"));
+  s.report_fields = reader.List("stats.fields");
+}
+
+void ReadPolicyLimits(const TableReader& reader, Settings& s) {
+  s.may_cancel = reader.Flag("policy_limits.cancel");
+  s.may_probe = reader.Flag("policy_limits.probes");
+  s.second_copies = reader.Flag("policy_limits.second_copies");
+  s.retry_after = reader.Flag("policy_limits.retry_after");
+  s.max_retry_after = reader.Integer("policy_limits.max_retry_after");
+  s.max_attempts = static_cast<int>(reader.Count("policy_limits.most_tries"));
+}
+
+void ReadRules(const TableReader& reader, Settings& s) {
+  s.answer_slack = reader.Integer("rules.answer_slack");
+  s.ask_within = reader.Integer("rules.ask_within");
+  s.cold_from = reader.Number("rules.cold_from");
+  s.warm_after = reader.Integer("rules.warm_after");
+  s.fall_multiple = reader.Number("rules.tip_multiple");
+  s.fall = reader.Integer("rules.fall");
+  s.drain_grace = reader.Integer("rules.drain_grace");
+  s.only_draining_binds = reader.Flag("rules.dropped_stay_open");
+}
+
+void ReadPrices(const TableReader& reader, Settings& s) {
+  s.over_share_worth = reader.Number("over_share_worth", 1);
+  s.probe_price = reader.Number("prices.probe");
+  s.cross_zone_price = reader.Number("prices.cross_zone");
+  s.waste_price = reader.Number("prices.waste");
+}
+
+void ReadDeployment(const TableReader& reader, Settings& s) {
+  s.tick = reader.Integer("quantum");
+  s.gateways = static_cast<int>(reader.Count("n_instances"));
+  s.me = static_cast<int>(reader.Count("me"));
+  s.zone = static_cast<int>(reader.Count("zone"));
+}
+
+}  // namespace
+
+std::string ToText(SettingsFault fault, const std::string& path, const std::string& value) {
+  const bool unknown = fault == SettingsFault::kUnknownValue;
+  const std::string problem = unknown ? " has a value that is not known: " : " is not a possible number: ";
+  return "setting " + path + problem + value;
+}
+
+// The order of reading decides which of several wrong settings an error names.
+Settings SettingsFromTable(const SettingsTable& table) {
+  const TableReader reader(table);
+  Settings s;
+  ReadClasses(reader, s);
+  ReadTenants(reader, s);
+  ReadConsistency(reader, s);
+  ReadReports(reader, s);
+  ReadPolicyLimits(reader, s);
+  ReadRules(reader, s);
+  ReadPrices(reader, s);
+  ReadDeployment(reader, s);
   return s;
 }
 
--- /dev/null
+++ b/src/config/settings_json.hpp
@@ -0,0 +1,15 @@
+// The settings as JSON: nested objects become the paths of the settings table.
+#ifndef TULIPYOKE_SRC_CONFIG_SETTINGS_JSON_HPP_
+#define TULIPYOKE_SRC_CONFIG_SETTINGS_JSON_HPP_
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "src/config/settings.hpp"
+
+namespace tulipyoke {
+
+SettingsTable TableFromJson(const nlohmann::json& json);
+
+}  // namespace tulipyoke
+
+#endif  // TULIPYOKE_SRC_CONFIG_SETTINGS_JSON_HPP_
--- a/src/net/address.hpp
+++ b/src/net/address.hpp
@@ -12,7 +12,7 @@
 
 // Throws std::runtime_error; names are not looked up, since there may be nobody to ask.
 inline asio::ip::tcp::endpoint ToEndpoint(const std::string& address) {
-  const HostPort parts = ParseHostPort(address);
+  const HostPort parts = ParseHostPortOrThrow(address);
   std::error_code error;
   const asio::ip::address host = asio::ip::make_address(parts.host, error);
   if (error) throw std::runtime_error("not an IP address: '" + parts.host + "'");
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -152,7 +152,7 @@
     if (current && word.empty()) pace_.Heard();
     // Bytes that make no word say nothing: a watch on which only such come is as good as silent.
     if (word.empty()) return ArmSilence(session);
-    const Listing listing = ParseListing(word);
+    const Listing listing = ParseListingOrThrow(word);
     if (current) pace_.Heard();
     ArmSilence(session);
     // Versions of two addresses are not comparable: what the former one tells must not be asked of this one.
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -161,7 +161,7 @@
   handover_.Step(Handover::Partner::kOlder, HandoverStep::kServing);
   handover_.Offer();
   const Config& config = config_;
-  const std::string host = ParseHostPort(config.listen_address).host;
+  const std::string host = ParseHostPortOrThrow(config.listen_address).host;
   const std::string address = host + ":" + std::to_string(front_.port());
   const std::size_t known = config.cached_listing.servers.size();
   LogInfo("serving", config.name + " serves on " + address + ", knows " + std::to_string(known) + " servers",
--- a/tests/membership/restart_detection_test.cpp
+++ b/tests/membership/restart_detection_test.cpp
@@ -40,6 +40,18 @@
   EXPECT_EQ(records[1].state, SourceState::kUnknown);
 }
 
+TEST(RestartDetection, OnlyRecordsUpToTheStartAreDiscarded) {
+  SourceRecords records = {RecordOf("a:1", kNowMs), RecordOf("a:1", 1000), RecordOf("a:1", 1000)};
+  records[1].state = SourceState::kVanished;
+  records[1].since = kNow;
+  records[2].state = SourceState::kVanished;
+  records[2].since = kNow + 1;
+  ProcessIdentity process{"a:1", 1000, 1000};
+  DetectRestart(kNow, records, 0, SourceState::kReady, process);
+  EXPECT_EQ(records[1].state, SourceState::kUnknown);
+  EXPECT_EQ(records[2].state, SourceState::kVanished);
+}
+
 TEST(RestartDetection, AnotherAddressIsAProcessThatStartsNow) {
   SourceRecords records = {RecordOf("a:2", 1000)};
   ProcessIdentity process{"a:1", 1000, 1000};
