--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -81,7 +81,7 @@
   explicit Client(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
 
   asio::ip::tcp::socket socket;
-  pg::MessageReader reader{true, pg::kLargestStatement};
+  pg::MessageReader reader{true, pg::kMaxStatementSize};
   StatementBudget::Room room;  // for the large statement that is being read
   bool awaits_room = false;
   bool started = false, reading = false, writing = false, skipping = false;
@@ -238,27 +238,23 @@
 
 void ClientFront::Process(const ClientPtr& client) {
   if (client->queued) return;
-  try {
-    for (int handled = 0;
-         client->request == 0 && !client->ending && !client->closed && client->unsent() < kMostUnsent;
-         ++handled) {
-      if (handled == kMessagesATurn) {
-        ProcessLater(client);
-        break;
-      }
-      const std::optional<pg::Message> message = client->reader.Next();
-      if (!message) break;
-      client->message_since = clock_.Now();
-      if (message->type == '\0' && !client->started) {
-        OnStartup(client, message->body);
-      } else {
-        OnMessage(client, message->type, message->body);
-      }
+  for (int handled = 0;
+       client->request == 0 && !client->ending && !client->closed && client->unsent() < kMostUnsent;
+       ++handled) {
+    if (handled == kMessagesATurn) {
+      ProcessLater(client);
+      break;
+    }
+    const std::optional<pg::Message> message = client->reader.Next();
+    if (!message) break;
+    client->message_since = clock_.Now();
+    if (message->type == '\0' && !client->started) {
+      OnStartup(client, message->body);
+    } else {
+      OnMessage(client, message->type, message->body);
     }
-  } catch (const pg::ProtocolError& error) {
-    ++counters_.malformed;
-    EndWith(client, "08P01", error.what());
   }
+  if (const std::optional<pg::ProtocolError> error = client->reader.error()) OnProtocolError(client, *error);
   if (client->closed) return;
   const bool held_back = client->unsent() >= kMostUnsent;
   const bool has_room = MakeRoom(client);
@@ -283,8 +279,9 @@
 }
 
 bool ClientFront::MakeRoom(const ClientPtr& client) {
-  const std::size_t wanted = client->request == 0 && !client->ending ? client->reader.Wanted() : 0;
-  if (wanted <= pg::kLargestMessage) {
+  const std::size_t wanted =
+      client->request == 0 && !client->ending ? client->reader.PendingMessageSize().value_or(0) : 0;
+  if (wanted <= pg::kMaxMessageSize) {
     client->room.reset();
     return true;
   }
@@ -323,7 +320,9 @@
 }
 
 void ClientFront::OnStartup(const ClientPtr& client, std::string_view body) {
-  switch (pg::ParseStartup(body)) {
+  const pg::Result<pg::StartupKind> kind = pg::ParseStartup(body);
+  if (!kind) return OnProtocolError(client, kind.error());
+  switch (*kind) {
     case pg::StartupKind::kEncryption:
       client->out += 'N';
       return;
@@ -334,26 +333,29 @@
   }
   client->started = true;
   client->heard = clock_.Now();
-  client->reader.ExpectTyped();
+  client->reader.EndStartup();
   pg::AppendAuthenticationOk(client->out);
   pg::AppendParameterStatus(client->out, "server_version", "15.0");
   pg::AppendParameterStatus(client->out, "server_encoding", "UTF8");
   pg::AppendParameterStatus(client->out, "client_encoding", "UTF8");
   pg::AppendParameterStatus(client->out, "standard_conforming_strings", "on");
-  pg::AppendReady(client->out);
+  pg::AppendReadyForQuery(client->out);
 }
 
 void ClientFront::OnMessage(const ClientPtr& client, char type, std::string_view body) {
   client->asked = true;
   switch (type) {
-    case 'Q':
+    case 'Q': {
       client->skipping = false;
-      return OnQuery(client, pg::ParseQuery(body));
+      const pg::Result<std::string_view> text = pg::ParseQuery(body);
+      if (!text) return OnProtocolError(client, text.error());
+      return OnQuery(client, *text);
+    }
     case 'X':
       return Close(client);
     case 'S':  // Sync
       client->skipping = false;
-      return pg::AppendReady(client->out);
+      return pg::AppendReadyForQuery(client->out);
     case 'P':
     case 'B':
     case 'D':
@@ -366,29 +368,29 @@
       return;
     case 'F':
       pg::AppendError(client->out, "ERROR", "0A000", "only simple queries are served");
-      return pg::AppendReady(client->out);
+      return pg::AppendReadyForQuery(client->out);
     default:
-      throw pg::ProtocolError("a message of a type that is not known");
+      return OnProtocolError(client, pg::ProtocolError::kUnknownRequestType);
   }
 }
 
 void ClientFront::OnQuery(const ClientPtr& client, std::string_view text) {
   const auto done = [&](std::string_view tag) {
     pg::AppendMessage(client->out, 'C', std::string(tag) + '\0');
-    pg::AppendReady(client->out);
+    pg::AppendReadyForQuery(client->out);
   };
-  switch (pg::HousekeepingOf(text)) {
-    case pg::Housekeeping::kEmpty:
+  switch (pg::ParseSessionCommand(text)) {
+    case pg::SessionCommand::kEmpty:
       if (!service_.welcomes()) return EndWith(client, "57P03", "out of service");
       pg::AppendMessage(client->out, 'I', {});
-      return pg::AppendReady(client->out);
-    case pg::Housekeeping::kSet:
+      return pg::AppendReadyForQuery(client->out);
+    case pg::SessionCommand::kSet:
       return done("SET");
-    case pg::Housekeeping::kReset:
+    case pg::SessionCommand::kReset:
       return done("RESET");
-    case pg::Housekeeping::kDiscard:
+    case pg::SessionCommand::kDiscard:
       return done("DISCARD ALL");
-    case pg::Housekeeping::kNone:
+    case pg::SessionCommand::kNone:
       break;
   }
   const std::optional<pg::Statement> statement = pg::ParseStatement(text);
@@ -400,7 +402,7 @@
     if (class_index >= 0) exchange_.CountTurnedAway(class_index, Failed{});
     if (++client->refusals >= kMostRefusals) return EndWith(client, "08P01", reason);
     pg::AppendError(client->out, "ERROR", "42601", reason);
-    return pg::AppendReady(client->out);
+    return pg::AppendReadyForQuery(client->out);
   }
   client->refusals = 0;
   if (client->no_place) {
@@ -417,12 +419,12 @@
     ++counters_.turned_away;
     exchange_.CountTurnedAway(class_index, Refused{});
     pg::AppendError(client->out, "ERROR", "53300", "too much is under way", ReturnIn(kNoLimit));
-    return pg::AppendReady(client->out);
+    return pg::AppendReadyForQuery(client->out);
   }
   // It may have come long ago, behind an answer or for want of room, and its client has gone since.
   if (HasLeft(*client)) return Close(client);
   const Freshness freshness = exchange_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
-  client->open_id = statement->id;
+  client->open_id = statement->request_id;
   open_ids_.insert(client->open_id);
   const auto tenant = tenants_.find(std::string(statement->tenant));
   ClientRequest request;
@@ -430,13 +432,14 @@
   request.tenant = tenant == tenants_.end() ? 0 : tenant->second;
   request.group = statement->cluster;
   if (freshness == Freshness::kSession || freshness == Freshness::kWrite) request.key = KeyOf(statement->key);
-  request.wait = statement->wait_ms * 1000;
-  if (freshness == Freshness::kSession) request.after_unix_ms = statement->after_ms;
-  request.repeat = statement->repeat;
+  request.wait = statement->timeout_ms * 1000;
+  if (freshness == Freshness::kSession) request.after_unix_ms = statement->read_after_ms;
+  request.repeat = statement->is_retry;
   if (!client->room) carried_ += client->carried = text.size();
   // From here on the statement's text is the payload's.
-  request.payload = std::make_shared<const Payload>(Payload{client->reader.TakeBody(text), statement->wait_at,
-                                                            statement->wait_size, std::move(client->room)});
+  request.payload =
+      std::make_shared<const Payload>(Payload{client->reader.TakeBody(text), statement->timeout_offset,
+                                              statement->timeout_size, std::move(client->room)});
   options_.before_request();
   client->request = exchange_.Submit(clock_.Now(), request);
   asking_[client->request] = client;
@@ -461,10 +464,12 @@
     return "the statement has no form that is served here, or lacks the comment that says what it is";
   if (found == classes_.end()) return "no class of requests has this name";
   const ClassSettings& c = exchange_.settings().classes[static_cast<std::size_t>(found->second)];
-  if (statement->writes != (c.freshness == Freshness::kWrite)) return "the class does not fit the statement";
-  if (c.effect == Effect::kKeyed && statement->repeat_key.empty()) return "the class wants a key for repeats";
+  if (statement->is_write != (c.freshness == Freshness::kWrite))
+    return "the class does not fit the statement";
+  if (c.effect == Effect::kKeyed && statement->idempotency_key.empty())
+    return "the class wants a key for repeats";
   // The request that has this id is another's: it goes on untouched.
-  if (open_ids_.contains(std::string(statement->id))) return "a request with this id is still open";
+  if (open_ids_.contains(std::string(statement->request_id))) return "a request with this id is still open";
   return nullptr;
 }
 
@@ -477,7 +482,7 @@
     client->last_active = clock_.Now();
     carried_ -= std::exchange(client->carried, 0);
     pg::AppendMessage(client->out, 'T', begun->transfer->shape());
-    pg::AppendRowHead(client->out, begun->transfer->size());
+    pg::AppendRowHeader(client->out, begun->transfer->size());
     begun->transfer->on_change = [this, weak = std::weak_ptr(client)] {
       if (const ClientPtr waiting = weak.lock()) PassOn(waiting);
     };
@@ -498,7 +503,7 @@
   } else {
     pg::AppendError(client->out, "ERROR", "58000", "failed: the statement may have taken effect");
   }
-  pg::AppendReady(client->out);
+  pg::AppendReadyForQuery(client->out);
   Process(client);
 }
 
@@ -524,7 +529,7 @@
   // A part of the value is out: only the close can say that the rest will not come.
   if (!whole) return Close(client);
   pg::AppendMessage(client->out, 'C', transfer->tag());
-  pg::AppendReady(client->out);
+  pg::AppendReadyForQuery(client->out);
   Process(client);
 }
 
@@ -567,6 +572,11 @@
                     });
 }
 
+void ClientFront::OnProtocolError(const ClientPtr& client, pg::ProtocolError error) {
+  ++counters_.malformed;
+  EndWith(client, "08P01", pg::ToText(error));
+}
+
 void ClientFront::EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
                           std::string_view detail) {
   if (client->ending || client->closed) return;
@@ -753,7 +763,7 @@
     return now - client.last_active > kLongestRoomWait ? "no room for so much" : nullptr;
   if (!partial && client.asked) return nullptr;
   // Of a message whose head is there each piece counts, before that only the whole head.
-  const bool comes = partial && client.reader.Wanted() > 0;
+  const bool comes = partial && client.reader.PendingMessageSize().has_value();
   const Micros since = comes ? client.last_active : partial ? client.message_since : client.heard;
   const bool late =
       now - since > kFirstRequestWithin || (partial && now - client.message_since > kLongestMessage);
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -18,8 +18,12 @@
 #include "src/net/clock.hpp"
 #include "src/net/service.hpp"
 #include "src/net/statement_budget.hpp"
+#include "src/pg/message_parser.hpp"
+#include "src/pg/message_reader.hpp"
+#include "src/pg/message_writer.hpp"
+#include "src/pg/protocol_error.hpp"
+#include "src/pg/session_command.hpp"
 #include "src/pg/statement.hpp"
-#include "src/pg/wire.hpp"
 
 namespace tulipyoke::net {
 
@@ -96,6 +100,8 @@
   // Passes on what has come of a large value.
   void PassOn(const ClientPtr& client);
   void Write(const ClientPtr& client);
+  // Ends a connection whose client broke the protocol.
+  void OnProtocolError(const ClientPtr& client, pg::ProtocolError error);
   // Says why, then ends the connection without losing what was said.
   void EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
                std::string_view detail = {});
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -7,8 +7,12 @@
 
 #include "src/log/log.hpp"
 #include "src/net/address.hpp"
-#include "src/pg/answer.hpp"
-#include "src/pg/wire.hpp"
+#include "src/pg/message_parser.hpp"
+#include "src/pg/message_reader.hpp"
+#include "src/pg/message_types.hpp"
+#include "src/pg/message_writer.hpp"
+#include "src/pg/query_response.hpp"
+#include "src/pg/sqlstate.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -42,7 +46,7 @@
   enum class State { kOpening, kResting, kIdle, kBusy, kClosed };
 
   Connection(asio::io_context& io, ServerId id, const asio::ip::tcp::endpoint& at)
-      : socket(io), alarm(io), server(id), address(at), reader(pg::MessageReader::ForAnswers()) {}
+      : socket(io), alarm(io), server(id), address(at), reader(pg::MessageReader::ForResponses()) {}
 
   asio::ip::tcp::socket socket;
   Alarm alarm;
@@ -51,7 +55,7 @@
   State state = State::kOpening;
   Micros idle_since = 0;
   pg::MessageReader reader;
-  pg::AnswerReader answer;
+  pg::QueryResponseReader response;
   Ticket ticket = 0;
   // A value that is passed on as it comes: how much of it is still to come, and whether its client has to
   // catch up first.
@@ -146,11 +150,7 @@
   link->socket.async_read_some(asio::buffer(link->in), [this, link](std::error_code error, std::size_t size) {
     if (link->state == Connection::State::kClosed) return;
     if (error) return OnBroken(link);
-    try {
-      OnBytes(link, size);
-    } catch (const pg::ProtocolError&) {
-      OnGarbage(link);
-    }
+    OnBytes(link, size);
     if (link->state != Connection::State::kClosed && !link->paused) Read(link);
   });
 }
@@ -172,14 +172,16 @@
         continue;
       }
     }
+    if (link->reader.error()) return OnGarbage(link);
     const std::optional<pg::Message> message = link->reader.Next();
+    if (link->reader.error()) return OnGarbage(link);
     if (!message) return;
     switch (link->state) {
       case Connection::State::kOpening:
         OnStartup(link, message->type, message->body);
         break;
       case Connection::State::kBusy:
-        if (link->answer.Take(*message)) OnAnswered(link);
+        OnResponse(link, *message);
         break;
       case Connection::State::kResting:
       case Connection::State::kIdle:
@@ -189,9 +191,15 @@
   }
 }
 
+void ServerPool::OnResponse(const Link& link, const pg::Message& message) {
+  const pg::Result<pg::ResponseProgress> progress = link->response.Read(message);
+  if (!progress) return OnGarbage(link);
+  if (*progress == pg::ResponseProgress::kComplete) OnAnswered(link);
+}
+
 void ServerPool::OnLargeRow(const Link& link, std::size_t size) {
-  link->answer.BeginRow();
-  link->transfer = exchange_.Begin(clock_.Now(), link->ticket, link->answer.shape(), size);
+  if (link->response.BeginRow()) return OnGarbage(link);
+  link->transfer = exchange_.Begin(clock_.Now(), link->ticket, link->response.row_description(), size);
   if (!link->transfer) return Close(link);  // nobody waits for it any more
   link->value_left = size;
   link->transfer->on_room = [this, weak = std::weak_ptr(link)] {
@@ -214,7 +222,7 @@
   const Ticket ticket = link->ticket;
   link->transfer.reset();
   link->paused = false;  // the rest is the client's side's
-  Outcome outcome = *link->answer.Settled();
+  Outcome outcome = *link->response.outcome();
   busy_.erase(ticket);
   link->state = Connection::State::kResting;
   ++sites_[link->server].resting;
@@ -250,20 +258,26 @@
 
 void ServerPool::OnStartup(const Link& link, char type, std::string_view body) {
   switch (type) {
-    case 'R':
-      if (pg::ReadU32(body, 0) != 0) throw pg::ProtocolError("a password is asked for");
+    case pg::backend::kAuthentication: {
+      const pg::Result<pg::Authentication> authentication = pg::ParseAuthentication(body);
+      if (!authentication || *authentication == pg::Authentication::kRequired) return OnGarbage(link);
       return;
-    case 'E':
-      return OpenFailed(link, pg::ParseError(body).code == "53300" ? Status::kFull : Status::kConnectFailed);
-    case 'Z':
+    }
+    case pg::backend::kErrorResponse: {
+      const pg::Result<pg::ErrorFields> error = pg::ParseError(body);
+      if (!error) return OnGarbage(link);
+      const bool full = error->code == pg::sqlstate::kTooManyConnections;
+      return OpenFailed(link, full ? Status::kFull : Status::kConnectFailed);
+    }
+    case pg::backend::kReadyForQuery:
       link->alarm.Off();
       return OnReady(link);
-    case 'S':
-    case 'K':
-    case 'N':
+    case pg::backend::kParameterStatus:
+    case pg::backend::kBackendKeyData:
+    case pg::backend::kNoticeResponse:
       return;
     default:
-      throw pg::ProtocolError("a message that no startup calls for");
+      return OnGarbage(link);
   }
 }
 
@@ -302,8 +316,7 @@
   link->state = Connection::State::kBusy;
   link->ticket = job.ticket;
   link->start_by = job.start_by;
-  using Query = pg::AnswerReader::Query;
-  link->answer = pg::AnswerReader(job.payload ? Query::kStatement : Query::kProbe);
+  link->response = pg::QueryResponseReader(job.payload ? pg::QueryKind::kStatement : pg::QueryKind::kProbe);
   link->transfer.reset();
   link->value_left = 0;
   busy_[job.ticket] = link;
@@ -315,7 +328,7 @@
   if (job.payload) link->wait = std::to_string(std::max<Micros>(1, (job.give_up - clock_.Now()) / 1000));
   const std::string_view before = payload.Before(), behind = payload.Behind();
   link->out.clear();
-  pg::AppendHead(link->out, 'Q', before.size() + link->wait.size() + behind.size() + 1);
+  pg::AppendHeader(link->out, pg::frontend::kQuery, before.size() + link->wait.size() + behind.size() + 1);
   link->unsent = {asio::buffer(link->out), asio::buffer(before), asio::buffer(link->wait),
                   asio::buffer(behind), asio::buffer("", 1)};
   Write(link);
@@ -358,7 +371,7 @@
   if (link->state == Connection::State::kOpening) return OpenFailed(link, Status::kConnectFailed);
   const bool busy = link->state == Connection::State::kBusy;
   const Ticket ticket = link->ticket;
-  std::optional<Outcome> outcome = busy ? link->answer.Settled() : std::nullopt;
+  std::optional<Outcome> outcome = busy ? link->response.outcome() : std::nullopt;
   if (!outcome) outcome = Outcome{.status = link->written() ? Status::kReset : Status::kConnectFailed};
   if (busy) ++counters_.broken;
   Drop(link);
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -16,6 +16,7 @@
 #include "src/exchange/exchange.hpp"
 #include "src/net/alarm.hpp"
 #include "src/net/clock.hpp"
+#include "src/pg/message_reader.hpp"
 
 namespace tulipyoke::net {
 
@@ -74,6 +75,7 @@
   void OnBytes(const Link& link, std::size_t size);
   void OnStartup(const Link& link, char type, std::string_view body);
   // A value that is passed on as it comes; false: no more is wanted for now.
+  void OnResponse(const Link& link, const pg::Message& message);
   void OnLargeRow(const Link& link, std::size_t size);
   void PassOn(const Link& link);
   void OnAnswered(const Link& link);
--- /dev/null
+++ b/src/pg/message_types.hpp
@@ -0,0 +1,42 @@
+// The type bytes of the protocol's messages that this router reads or writes. The same byte means one thing
+// from a client and another from a server.
+#ifndef TULIPYOKE_SRC_PG_MESSAGE_TYPES_HPP_
+#define TULIPYOKE_SRC_PG_MESSAGE_TYPES_HPP_
+
+namespace tulipyoke::pg {
+
+// From a server.
+namespace backend {
+inline constexpr char kAuthentication = 'R';
+inline constexpr char kBackendKeyData = 'K';
+inline constexpr char kCommandComplete = 'C';
+inline constexpr char kDataRow = 'D';
+inline constexpr char kEmptyQueryResponse = 'I';
+inline constexpr char kErrorResponse = 'E';
+inline constexpr char kNoticeResponse = 'N';
+inline constexpr char kNotificationResponse = 'A';
+inline constexpr char kParameterStatus = 'S';
+inline constexpr char kReadyForQuery = 'Z';
+inline constexpr char kRowDescription = 'T';
+}  // namespace backend
+
+// From a client.
+namespace frontend {
+inline constexpr char kBind = 'B';
+inline constexpr char kClose = 'C';
+inline constexpr char kDescribe = 'D';
+inline constexpr char kExecute = 'E';
+inline constexpr char kFlush = 'H';
+inline constexpr char kFunctionCall = 'F';
+inline constexpr char kParse = 'P';
+inline constexpr char kQuery = 'Q';
+inline constexpr char kSync = 'S';
+inline constexpr char kTerminate = 'X';
+}  // namespace frontend
+
+// In place of a type byte: a startup packet, which has none.
+inline constexpr char kStartupPacket = '\0';
+
+}  // namespace tulipyoke::pg
+
+#endif  // TULIPYOKE_SRC_PG_MESSAGE_TYPES_HPP_
--- /dev/null
+++ b/src/pg/result.hpp
@@ -0,0 +1,34 @@
+// What a parser returns: a value, or the error that the input has.
+#ifndef TULIPYOKE_SRC_PG_RESULT_HPP_
+#define TULIPYOKE_SRC_PG_RESULT_HPP_
+
+#include <utility>
+#include <variant>
+
+#include "src/pg/protocol_error.hpp"
+
+namespace tulipyoke::pg {
+
+template <typename T>
+class [[nodiscard]] Result {
+ public:
+  Result(T value) : content_(std::move(value)) {}   // NOLINT: implicit, so that parsers return either
+  Result(ProtocolError error) : content_(error) {}  // NOLINT
+
+  bool ok() const { return std::holds_alternative<T>(content_); }
+  explicit operator bool() const { return ok(); }
+
+  // Only where ok().
+  const T& operator*() const& { return std::get<T>(content_); }
+  T&& operator*() && { return std::get<T>(std::move(content_)); }
+  const T* operator->() const { return &std::get<T>(content_); }
+  // Only where not ok().
+  ProtocolError error() const { return std::get<ProtocolError>(content_); }
+
+ private:
+  std::variant<T, ProtocolError> content_;
+};
+
+}  // namespace tulipyoke::pg
+
+#endif  // TULIPYOKE_SRC_PG_RESULT_HPP_
--- a/src/pg/statement.cpp
+++ b/src/pg/statement.cpp
@@ -3,126 +3,182 @@
 #include <algorithm>
 #include <charconv>
 #include <initializer_list>
-#include <string>
+#include <iterator>
+#include <limits>
+
+#include "src/pg/text.hpp"
 
 namespace tulipyoke::pg {
 namespace {
 
-constexpr std::string_view kBlank = " \t\r\n;";
+constexpr std::string_view kCommentBegin = "/*";
+constexpr std::string_view kCommentEnd = "*/";
+constexpr std::string_view kHexPrefix = "\\x";
 // Nobody waits longer than a day; the limit keeps sums of times far from overflow.
-constexpr std::int64_t kLongestWaitMs = 86'400'000;
+constexpr std::int64_t kMaxTimeoutMs = 86'400'000;
+constexpr std::int64_t kMaxReadAfterMs = kMaxTimeoutMs * 365 * 1000;
 
-std::string_view Trim(std::string_view text) {
-  const std::size_t from = text.find_first_not_of(kBlank);
-  if (from == std::string_view::npos) return {};
-  return text.substr(from, text.find_last_not_of(kBlank) - from + 1);
-}
+struct StatementText {
+  std::string_view sql, comment;
+};
+
+// The values of the comment's fields as they stand in it; empty: not given.
+struct CommentFields {
+  std::string_view request_id, class_name, tenant, timeout, idempotency_key, retry, cluster, read_after;
+};
+
+struct SqlFields {
+  std::string_view key;
+  bool is_write = false;
+};
 
+struct FieldName {
+  std::string_view name;
+  std::string_view CommentFields::*value;
+};
+constexpr FieldName kFieldNames[] = {
+    {"id", &CommentFields::request_id},     {"c", &CommentFields::class_name},
+    {"t", &CommentFields::tenant},          {"d", &CommentFields::timeout},
+    {"k", &CommentFields::idempotency_key}, {"r", &CommentFields::retry},
+    {"cluster", &CommentFields::cluster},   {"after", &CommentFields::read_after},
+};
+
+// Of the whole text; none where it is not a number, or one that is not within 0 to `max`.
 template <typename T>
-bool ParseWhole(std::string_view text, T& value) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  return error == std::errc() && end == text.data() + text.size();
+std::optional<T> ParseNumber(std::string_view text, T max) {
+  T value{};
+  const char* const text_end = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), text_end, value);
+  if (error != std::errc() || end != text_end || value < 0 || value > max) return std::nullopt;
+  return value;
 }
 
-// Takes the next word in any case, with the blanks before it; false where something else stands there.
-bool TakeWord(std::string_view& sql, std::string_view word) {
-  const std::size_t from = std::min(sql.find_first_not_of(kBlank), sql.size());
-  const std::string_view found = sql.substr(from, word.size());
-  const auto same = [](char a, char b) { return a == b || (a >= 'a' && a <= 'z' && a - 'a' + 'A' == b); };
-  if (!std::equal(found.begin(), found.end(), word.begin(), word.end(), same)) return false;
-  sql.remove_prefix(from + word.size());
+// Removes the word, in any case, and the separators before it from the front; false where another text stands
+// there.
+bool TakeWord(std::string_view& sql, std::string_view upper_case_word) {
+  const std::size_t begin = std::min(sql.find_first_not_of(kSeparators), sql.size());
+  const std::string_view found = sql.substr(begin, upper_case_word.size());
+  const auto matches = [](char c, char wanted) { return ToUpper(c) == wanted; };
+  if (!std::equal(found.begin(), found.end(), upper_case_word.begin(), upper_case_word.end(), matches))
+    return false;
+  sql.remove_prefix(begin + upper_case_word.size());
   return true;
 }
-bool TakeWords(std::string_view& sql, std::initializer_list<std::string_view> words) {
-  return std::all_of(words.begin(), words.end(), [&](std::string_view word) { return TakeWord(sql, word); });
+
+bool TakeWords(std::string_view& sql, std::initializer_list<std::string_view> upper_case_words) {
+  return std::all_of(upper_case_words.begin(), upper_case_words.end(),
+                     [&](std::string_view word) { return TakeWord(sql, word); });
 }
-bool TakeQuoted(std::string_view& sql, std::string_view& value) {
-  if (!TakeWord(sql, "'")) return false;
+
+std::optional<std::string_view> TakeQuoted(std::string_view& sql) {
+  if (!TakeWord(sql, "'")) return std::nullopt;
   const std::size_t end = sql.find('\'');
-  if (end == std::string_view::npos) return false;
-  value = sql.substr(0, end);
+  if (end == std::string_view::npos) return std::nullopt;
+  const std::string_view value = sql.substr(0, end);
   sql.remove_prefix(end + 1);
-  return true;
+  return value;
 }
-// Values have millions of digits.
+
+// Not std::isxdigit, which is slow: values have millions of digits.
 bool IsHexDigit(char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F'); }
-bool IsBytes(std::string_view value) {
-  return value.starts_with("\\x") && value.size() % 2 == 0 &&
-         std::all_of(value.begin() + 2, value.end(), IsHexDigit);
+
+bool IsHexBytes(std::string_view value) {
+  if (!value.starts_with(kHexPrefix) || value.size() % 2 != 0) return false;
+  return std::all_of(value.begin() + static_cast<std::ptrdiff_t>(kHexPrefix.size()), value.end(), IsHexDigit);
 }
-// The two forms that clients send.
-bool ParseSql(std::string_view sql, Statement& result) {
-  result.writes = !TakeWords(sql, {"SELECT "});
-  std::string_view value = "\\x";
-  const bool known =
-      result.writes
-          ? TakeWords(sql, {"INSERT ", "INTO ", "ROWS", "(", "HANDLE", ",", "BLOB", ")", "VALUES"}) &&
-                TakeWords(sql, {"("}) && TakeQuoted(sql, result.key) && TakeWords(sql, {","}) &&
-                TakeQuoted(sql, value) && TakeWords(sql, {")", "RETURNING ", "BLOB"})
-          : TakeWords(sql, {"BLOB ", "FROM ", "ROWS ", "WHERE ", "HANDLE", "="}) &&
-                TakeQuoted(sql, result.key);
-  return known && !result.key.empty() && IsBytes(value) && Trim(sql).empty();
+
+// SELECT blob FROM rows WHERE handle = 'key'
+std::optional<SqlFields> ParseSelect(std::string_view sql) {
+  if (!TakeWords(sql, {"SELECT ", "BLOB ", "FROM ", "ROWS ", "WHERE ", "HANDLE", "="})) return std::nullopt;
+  const std::optional<std::string_view> key = TakeQuoted(sql);
+  if (!key || key->empty() || !Trim(sql).empty()) return std::nullopt;
+  return SqlFields{*key, false};
 }
 
-}  // namespace
+// INSERT INTO rows (handle, blob) VALUES ('key', '\x00') RETURNING blob
+std::optional<SqlFields> ParseInsert(std::string_view sql) {
+  if (!TakeWords(sql, {"INSERT ", "INTO ", "ROWS", "(", "HANDLE", ",", "BLOB", ")", "VALUES", "("}))
+    return std::nullopt;
+  const std::optional<std::string_view> key = TakeQuoted(sql);
+  if (!key || key->empty() || !TakeWord(sql, ",")) return std::nullopt;
+  const std::optional<std::string_view> value = TakeQuoted(sql);
+  if (!value || !TakeWords(sql, {")", "RETURNING ", "BLOB"})) return std::nullopt;
+  if (!IsHexBytes(*value) || !Trim(sql).empty()) return std::nullopt;
+  return SqlFields{*key, true};
+}
 
-std::optional<Statement> ParseStatement(std::string_view text) {
-  const std::string_view trimmed = Trim(text);
-  if (!trimmed.ends_with("*/")) return std::nullopt;
-  const std::size_t open = trimmed.rfind("/*");
-  if (open == std::string_view::npos || open + 4 > trimmed.size()) return std::nullopt;
-  std::string_view comment = trimmed.substr(open + 2, trimmed.size() - open - 4);
-  const auto unreadable = [](char c) { return static_cast<unsigned char>(c) < ' '; };
-  if (std::any_of(comment.begin(), comment.end(), unreadable)) return std::nullopt;
+// None where the text does not end in a comment, or that has a control character.
+std::optional<StatementText> SplitComment(std::string_view text) {
+  if (!text.ends_with(kCommentEnd)) return std::nullopt;
+  const std::size_t begin = text.rfind(kCommentBegin);
+  const std::size_t delimiters = kCommentBegin.size() + kCommentEnd.size();
+  if (begin == std::string_view::npos || begin + delimiters > text.size()) return std::nullopt;
+  const std::string_view comment =
+      text.substr(begin + kCommentBegin.size(), text.size() - begin - delimiters);
+  const auto is_control = [](char c) { return static_cast<unsigned char>(c) < ' '; };
+  if (std::any_of(comment.begin(), comment.end(), is_control)) return std::nullopt;
+  return StatementText{text.substr(0, begin), comment};
+}
 
-  Statement result;
-  std::string_view wait, cluster, after, again;
+// False where the pair spoils the comment; fields of other names are ignored.
+bool ParseField(std::string_view pair, CommentFields& fields) {
+  const std::size_t equals = std::min(pair.find('='), pair.size());
+  const std::string_view name = pair.substr(0, equals);
+  const auto* const known = std::find_if(std::begin(kFieldNames), std::end(kFieldNames),
+                                         [&](const FieldName& field) { return field.name == name; });
+  if (known == std::end(kFieldNames)) return true;
+  std::string_view& value = fields.*known->value;
+  // Given twice, it could be read one way here and another way by a server.
+  if (!value.empty() || equals == pair.size()) return false;
+  value = pair.substr(equals + 1);
+  return true;
+}
+
+std::optional<CommentFields> ParseComment(std::string_view comment) {
+  CommentFields fields;
   while (!comment.empty()) {
     const std::size_t comma = comment.find(',');
-    const std::string_view pair = Trim(comment.substr(0, comma));
+    if (!ParseField(Trim(comment.substr(0, comma)), fields)) return std::nullopt;
     comment.remove_prefix(comma == std::string_view::npos ? comment.size() : comma + 1);
-    const std::size_t equals = std::min(pair.find('='), pair.size());
-    const std::string_view name = pair.substr(0, equals);
-    std::string_view* field = name == "id"        ? &result.id
-                              : name == "c"       ? &result.class_name
-                              : name == "t"       ? &result.tenant
-                              : name == "d"       ? &wait
-                              : name == "k"       ? &result.repeat_key
-                              : name == "r"       ? &again
-                              : name == "cluster" ? &cluster
-                              : name == "after"   ? &after
-                                                  : nullptr;
-    if (!field) continue;
-    // Said twice, it could be read one way here and another way by a server.
-    if (!field->empty() || equals == pair.size()) return std::nullopt;
-    *field = pair.substr(equals + 1);
   }
-  if (result.id.empty() || result.class_name.empty()) return std::nullopt;
-  if (!ParseWhole(wait, result.wait_ms) || result.wait_ms < 0 || result.wait_ms > kLongestWaitMs)
-    return std::nullopt;
-  result.wait_at = static_cast<std::size_t>(wait.data() - text.data());
-  result.wait_size = wait.size();
-  if (!cluster.empty() && (!ParseWhole(cluster, result.cluster) || result.cluster < 0)) return std::nullopt;
-  if (!after.empty()) {
-    std::int64_t ms = 0;
-    if (!ParseWhole(after, ms) || ms < 0 || ms > kLongestWaitMs * 365 * 1000) return std::nullopt;
-    result.after_ms = ms;
-  }
-  result.repeat = again == "1";
-  if (!ParseSql(trimmed.substr(0, open), result)) return std::nullopt;
-  return result;
+  if (fields.request_id.empty() || fields.class_name.empty()) return std::nullopt;
+  return fields;
 }
 
-Housekeeping HousekeepingOf(std::string_view text) {
-  const std::string_view trimmed = Trim(text);
-  if (trimmed.empty()) return Housekeeping::kEmpty;
-  std::string word(trimmed.substr(0, trimmed.find_first_of(" \t\r\n;")));
-  std::transform(word.begin(), word.end(), word.begin(),
-                 [](char c) { return c >= 'a' && c <= 'z' ? static_cast<char>(c - 'a' + 'A') : c; });
-  if (word == "SET") return Housekeeping::kSet;
-  if (word == "RESET") return Housekeeping::kReset;
-  if (word == "DISCARD") return Housekeeping::kDiscard;
-  return Housekeeping::kNone;
+}  // namespace
+
+std::optional<Statement> ParseStatement(std::string_view text) {
+  const std::optional<StatementText> parts = SplitComment(Trim(text));
+  if (!parts) return std::nullopt;
+  const std::optional<CommentFields> fields = ParseComment(parts->comment);
+  if (!fields) return std::nullopt;
+  const auto timeout = ParseNumber<std::int64_t>(fields->timeout, kMaxTimeoutMs);
+  if (!timeout) return std::nullopt;
+
+  Statement result;
+  result.request_id = fields->request_id;
+  result.class_name = fields->class_name;
+  result.tenant = fields->tenant;
+  result.idempotency_key = fields->idempotency_key;
+  result.timeout_ms = *timeout;
+  result.timeout_offset = static_cast<std::size_t>(fields->timeout.data() - text.data());
+  result.timeout_size = fields->timeout.size();
+  result.is_retry = fields->retry == "1";
+  if (!fields->cluster.empty()) {
+    const auto cluster = ParseNumber<int>(fields->cluster, std::numeric_limits<int>::max());
+    if (!cluster) return std::nullopt;
+    result.cluster = *cluster;
+  }
+  if (!fields->read_after.empty()) {
+    result.read_after_ms = ParseNumber<std::int64_t>(fields->read_after, kMaxReadAfterMs);
+    if (!result.read_after_ms) return std::nullopt;
+  }
+  std::optional<SqlFields> sql = ParseSelect(parts->sql);
+  if (!sql) sql = ParseInsert(parts->sql);
+  if (!sql) return std::nullopt;
+  result.key = sql->key;
+  result.is_write = sql->is_write;
+  return result;
 }
 
 }  // namespace tulipyoke::pg
--- a/standins/pg_client.hpp
+++ b/standins/pg_client.hpp
@@ -69,7 +69,7 @@
     Outcome outcome;
     const Messages messages = peer_->UntilReady();
     for (const auto& [type, body] : messages) {
-      if (type == 'D') outcome.value = pg::ParseSingleColumn(body);
+      if (type == 'D') outcome.value = *pg::ParseSingleColumn(body);
       if (type == 'C') outcome.end = checks::End::kServed;
     }
     outcome.code = CodeOf(messages);
--- a/standins/pg_peer.hpp
+++ b/standins/pg_peer.hpp
@@ -11,12 +11,15 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
-#include "src/pg/wire.hpp"
+#include "src/pg/message_parser.hpp"
+#include "src/pg/message_reader.hpp"
+#include "src/pg/message_writer.hpp"
 
 namespace tulipyoke::standins {
 
@@ -30,8 +33,8 @@
  public:
   explicit Peer(tcp::socket socket, bool startup_first)
       : socket_(std::move(socket)),
-        reader_(startup_first ? pg::MessageReader(true, pg::kLargestStatement)
-                              : pg::MessageReader::ForAnswers()) {
+        reader_(startup_first ? pg::MessageReader(true, pg::kMaxStatementSize)
+                              : pg::MessageReader::ForResponses()) {
     const timeval limit{30, 0};
     setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   }
@@ -43,9 +46,10 @@
   std::pair<char, std::string> Next() {
     for (;;) {
       if (const auto message = reader_.Next()) {
-        if (message->type == '\0') reader_.ExpectTyped();
+        if (message->type == '\0') reader_.EndStartup();
         return {message->type ? message->type : 's', std::string(message->body)};
       }
+      if (const auto error = reader_.error()) throw std::runtime_error(std::string(pg::ToText(*error)));
       std::array<char, 4096> bytes;
       const ssize_t size = ::recv(socket_.native_handle(), bytes.data(), bytes.size(), 0);
       if (size <= 0) return {'\0', ""};
@@ -101,7 +105,7 @@
     if (peer.Next().first != 's') return;
     std::string hello;
     pg::AppendAuthenticationOk(hello);
-    pg::AppendReady(hello);
+    pg::AppendReadyForQuery(hello);
     peer.Write(hello);
     for (auto message = peer.Next(); message.first == 'Q'; message = peer.Next()) {
       const std::string query = message.second.substr(0, message.second.size() - 1);
@@ -134,7 +138,7 @@
   pg::AppendDataRow(out, value);
   pg::AppendMessage(out, 'C', std::string("SELECT 1\0", 9));
   pg::AppendParameterStatus(out, "replication_role", "standby");
-  pg::AppendReady(out);
+  pg::AppendReadyForQuery(out);
   return out;
 }
 
@@ -148,7 +152,7 @@
 }
 inline std::string CodeOf(const Messages& messages) {
   for (const auto& [type, body] : messages) {
-    if (type == 'E') return pg::ParseError(body).code;
+    if (type == 'E') return pg::ParseError(body)->code;
   }
   return "";
 }
--- a/standins/pg_server.cpp
+++ b/standins/pg_server.cpp
@@ -6,7 +6,9 @@
 #include <deque>
 #include <stdexcept>
 
-#include "src/pg/wire.hpp"
+#include "src/pg/message_parser.hpp"
+#include "src/pg/message_reader.hpp"
+#include "src/pg/message_writer.hpp"
 #include "standins/pg_peer.hpp"
 
 namespace tulipyoke::standins {
@@ -38,7 +40,7 @@
 }  // namespace
 
 struct PgServer::Session {
-  explicit Session(tcp::socket s) : socket(std::move(s)), reader(true, pg::kLargestStatement) {}
+  explicit Session(tcp::socket s) : socket(std::move(s)), reader(true, pg::kMaxStatementSize) {}
   tcp::socket socket;
   pg::MessageReader reader;
   std::array<char, 16384> in{};
@@ -111,16 +113,17 @@
 void PgServer::Take(const std::shared_ptr<Session>& session) {
   while (const auto message = session->reader.Next()) {
     if (message->type == '\0') {
-      session->reader.ExpectTyped();
+      session->reader.EndStartup();
       std::string hello;
       pg::AppendAuthenticationOk(hello);
-      pg::AppendReady(hello);
+      pg::AppendReadyForQuery(hello);
       Write(session, hello);
     } else if (message->type == 'Q') {
-      Query(session, std::string(pg::ParseQuery(message->body)));
+      Query(session, std::string(*pg::ParseQuery(message->body)));
     }
     session->begun = 0;
   }
+  if (const auto error = session->reader.error()) throw std::runtime_error(std::string(pg::ToText(*error)));
 }
 
 void PgServer::Query(const std::shared_ptr<Session>& session, const std::string& text) {
@@ -174,7 +177,7 @@
   // Positions are rounded down, commits up.
   const double ms = static_cast<double>(unix_position) / kMillisecond;
   pg::AppendParameterStatus(out, "log_position", std::to_string(static_cast<Micros>(write ? ms + 1 : ms)));
-  pg::AppendReady(out);
+  pg::AppendReadyForQuery(out);
   Write(session, std::move(out));
 }
 
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -138,7 +138,7 @@
   rig.Settle();
   std::string refusal;
   pg::AppendError(refusal, "ERROR", "53300", "not now");
-  pg::AppendReady(refusal);
+  pg::AppendReadyForQuery(refusal);
   server.Say(0, refusal);
   rig.Until([&] { return rig.outcomes(Status::kFull) == 1; });
   rig.Leave(id);
@@ -312,7 +312,7 @@
   rig.Tell(Rig::Listed("b", second.port()));
   std::string error;
   pg::AppendError(error, "ERROR", "XX000", "it may have run");
-  pg::AppendReady(error);
+  pg::AppendReadyForQuery(error);
   first.Say(0, error);
   ASSERT_TRUE(rig.Until([&] { return second.Came(); }));
   second.Greet(0);
@@ -456,7 +456,7 @@
   const RequestId id = rig.Ask("statement");
   std::string error;
   pg::AppendError(error, "ERROR", "XX000", "it may have run");
-  pg::AppendReady(error);
+  pg::AppendReadyForQuery(error);
   for (std::size_t i = 0; i < 2; ++i) {
     ASSERT_TRUE(rig.Until([&] { return servers[i].Came(); }));
     servers[i].Greet(0);
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -57,7 +57,7 @@
       while (!NothingOut(node)) std::this_thread::yield();
       std::string hello;
       pg::AppendAuthenticationOk(hello);
-      pg::AppendReady(hello);
+      pg::AppendReadyForQuery(hello);
       for (tcp::socket& socket : held) {
         std::error_code ignored;
         asio::write(socket, asio::buffer(hello), ignored);
@@ -131,9 +131,9 @@
   gate.unlock();
   const Messages behind = first.UntilReady();
   ASSERT_EQ(before.size(), 4u);
-  EXPECT_EQ(pg::ParseSingleColumn(before[1].second), "in time");
+  EXPECT_EQ(*pg::ParseSingleColumn(before[1].second), "in time");
   ASSERT_EQ(behind.size(), 4u);
-  EXPECT_EQ(pg::ParseSingleColumn(behind[1].second), "late");
+  EXPECT_EQ(*pg::ParseSingleColumn(behind[1].second), "late");
 }
 
 // Guards against a request whose attempt could not connect and that is sent again after its client has left;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -21,7 +21,8 @@
 #include <thread>
 #include <vector>
 
-#include "src/pg/wire.hpp"
+#include "src/pg/message_parser.hpp"
+#include "src/pg/message_writer.hpp"
 #include "tests/running.hpp"
 
 namespace tulipyoke::net {
@@ -37,7 +38,7 @@
     const Messages m = client.UntilReady();
     ASSERT_EQ(m.size(), 4u);
     EXPECT_EQ(m[0], (std::pair<char, std::string>{'T', kShape}));
-    EXPECT_EQ(pg::ParseSingleColumn(m[1].second), std::string("for id=") + id);
+    EXPECT_EQ(*pg::ParseSingleColumn(m[1].second), std::string("for id=") + id);
   }
   EXPECT_EQ(client.UntilReady()[0].first, 'I');
   // The statement passes on as it came, but for the wait.
@@ -147,7 +148,7 @@
     for (Peer* client : {&first, &second}) {
       const Messages m = client->UntilReady();
       ASSERT_EQ(m.size(), 4u);
-      EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "sound");
+      EXPECT_EQ(*pg::ParseSingleColumn(m[1].second), "sound");
     }
     EXPECT_EQ(bad.queries().size(), 1u);
   }
@@ -166,7 +167,7 @@
       client.Write(Ask(id));
       const Messages m = client.UntilReady();
       ASSERT_EQ(m.size(), 4u);
-      EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "id=" + id);
+      EXPECT_EQ(*pg::ParseSingleColumn(m[1].second), "id=" + id);
     }
   }
 }
@@ -282,9 +283,9 @@
   const Messages m = client.UntilReady();
   ASSERT_EQ(m.size(), 4u);
   EXPECT_EQ(m[0].second, kShape);
-  EXPECT_TRUE(pg::ParseSingleColumn(m[1].second) == value);
+  EXPECT_TRUE(*pg::ParseSingleColumn(m[1].second) == value);
   EXPECT_EQ(m[2].second, std::string("SELECT 1\0", 9));
-  EXPECT_EQ(pg::ParseSingleColumn(client.UntilReady()[1].second), "small");
+  EXPECT_EQ(*pg::ParseSingleColumn(client.UntilReady()[1].second), "small");
   EXPECT_NE(node.Call("GET", "/control/counters").find("passed.any=3\n"), std::string::npos);
 }
 
@@ -348,7 +349,7 @@
   for (std::size_t i = 0; i < 4; ++i) {
     const Messages m = writers[i].UntilReady();
     ASSERT_EQ(m.size(), 4u) << CodeOf(m) << " " << i;
-    EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "for id=" + std::to_string(i));
+    EXPECT_EQ(*pg::ParseSingleColumn(m[1].second), "for id=" + std::to_string(i));
   }
   for (const std::string& query : server.queries()) {
     if (!query.starts_with("INSERT")) continue;
@@ -431,7 +432,7 @@
   for (int i = 0; i < 3000 && value != wanted; ++i) {
     client.Write(Ask(std::to_string(i)));
     const Messages m = client.UntilReady();
-    if (m.size() == 4) value = pg::ParseSingleColumn(m[1].second);
+    if (m.size() == 4) value = *pg::ParseSingleColumn(m[1].second);
     if (value != wanted) std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   return value;
@@ -732,7 +733,7 @@
       while (exchange.FiguresAt(clock.Now()).classes[0].second.dropped == 0) io.run_one();
       client.UntilReady();
       const std::string error = client.UntilReady()[0].second;
-      EXPECT_EQ(pg::ParseError(error).code, out_of_service ? "57P03" : "53300");
+      EXPECT_EQ(pg::ParseError(error)->code, out_of_service ? "57P03" : "53300");
       const std::size_t at = error.find(std::string("\0D", 2));
       EXPECT_EQ(at != std::string::npos, told);
       const std::string told_ms = told ? error.c_str() + at + 2 : "";
--- a/tests/pg/golden_bytes_test.cpp
+++ b/tests/pg/golden_bytes_test.cpp
@@ -11,9 +11,13 @@
 #include <vector>
 
 #include "src/exchange/exchange.hpp"
-#include "src/pg/answer.hpp"
+#include "src/pg/message_parser.hpp"
+#include "src/pg/message_reader.hpp"
+#include "src/pg/message_writer.hpp"
+#include "src/pg/query_response.hpp"
+#include "src/pg/session_command.hpp"
 #include "src/pg/statement.hpp"
-#include "src/pg/wire.hpp"
+#include "tests/pg/sample_stream.hpp"
 
 namespace tulipyoke::pg {
 namespace {
@@ -48,58 +52,46 @@
   return Escaped(out);
 }
 
-// The text of what `parse` returns, or of the error that it ends in.
-template <typename Parse>
-std::string Parsed(const Parse& parse) {
-  try {
-    return parse();
-  } catch (const ProtocolError& error) {
-    return std::string("error: ") + error.what();
-  }
+std::string ErrorText(ProtocolError error) { return "error: " + std::string(ToText(error)); }
+
+// The text that `describe` makes of a result, or that of the error.
+template <typename T, typename Describe>
+std::string Described(const Result<T>& result, const Describe& describe) {
+  return result ? std::string(describe(*result)) : ErrorText(result.error());
+}
+std::string Described(const Result<std::string_view>& result) {
+  return Described(result, [](std::string_view text) { return text; });
 }
 
 TEST(GoldenBytes, MessagesThatAreWritten) {
   EXPECT_EQ(Written([](auto& out) { AppendMessage(out, 'C', std::string_view("SELECT 1\0", 9)); }),
             R"(|C\00\00\00\0dSELECT 1\00)");
   EXPECT_EQ(Written([](auto& out) { AppendMessage(out, 'I', {}); }), R"(|I\00\00\00\04)");
-  EXPECT_EQ(Written([](auto& out) { AppendHead(out, 'Q', 0x01020304 - 4); }), R"(|Q\01\02\03\04)");
+  EXPECT_EQ(Written([](auto& out) { AppendHeader(out, 'Q', 0x01020304 - 4); }), R"(|Q\01\02\03\04)");
   EXPECT_EQ(Written([](auto& out) { AppendStartup(out, "api", "ledger"); }),
             R"(|\00\00\00"\00\03\00\00user\00api\00database\00ledger\00\00)");
   EXPECT_EQ(Written([](auto& out) { AppendParameterStatus(out, "log_position", "17"); }),
             R"(|S\00\00\00\14log_position\0017\00)");
-  EXPECT_EQ(Written([](auto& out) { AppendReady(out); }), R"(|Z\00\00\00\05I)");
+  EXPECT_EQ(Written([](auto& out) { AppendReadyForQuery(out); }), R"(|Z\00\00\00\05I)");
   EXPECT_EQ(Written([](auto& out) { AppendAuthenticationOk(out); }), R"(|R\00\00\00\08\00\00\00\00)");
   EXPECT_EQ(Written([](auto& out) { AppendDataRow(out, std::string_view("\0\xff'x", 4)); }),
             R"(|D\00\00\00\0e\00\01\00\00\00\04\00\ff'x)");
   EXPECT_EQ(Written([](auto& out) { AppendDataRow(out, ""); }), R"(|D\00\00\00\0a\00\01\00\00\00\00)");
-  EXPECT_EQ(Written([](auto& out) { AppendRowHead(out, 100'000); }), R"(|D\00\01\86\aa\00\01\00\01\86\a0)");
+  EXPECT_EQ(Written([](auto& out) { AppendRowHeader(out, 100'000); }), R"(|D\00\01\86\aa\00\01\00\01\86\a0)");
   EXPECT_EQ(Written([](auto& out) { AppendError(out, "ERROR", "53300", "full", "250"); }),
             R"(|E\00\00\00%SERROR\00VERROR\00C53300\00Mfull\00D250\00\00)");
   EXPECT_EQ(Written([](auto& out) { AppendError(out, "FATAL", "08P01", "no"); }),
             R"(|E\00\00\00\1eSFATAL\00VFATAL\00C08P01\00Mno\00\00)");
 }
 
-std::string SampleStream() {
-  std::string bytes;
-  AppendAuthenticationOk(bytes);
-  AppendParameterStatus(bytes, "replication_role", "standby");
-  AppendError(bytes, "ERROR", "53300", "full", "250");
-  AppendDataRow(bytes, std::string_view("\0\xff'x", 4));
-  AppendMessage(bytes, 'C', std::string(70000, 'c'));
-  AppendReady(bytes);
-  return bytes;
-}
-
 // All that the reader has by now, one message a line, with the error that ends them.
 std::string ReadAll(MessageReader& reader) {
   std::string seen;
-  seen += Parsed([&] {
-    while (const auto message = reader.Next()) {
-      seen += message->type == '\0' ? std::string("startup") : std::string(1, message->type);
-      seen += " " + Escaped(message->body) + "\n";
-    }
-    return std::string();
-  });
+  while (const auto message = reader.Next()) {
+    seen += message->type == kStartupPacket ? std::string("startup") : std::string(1, message->type);
+    seen += " " + Escaped(message->body) + "\n";
+  }
+  if (reader.error()) seen += ErrorText(*reader.error());
   return seen;
 }
 
@@ -155,16 +147,10 @@
 
 TEST(GoldenBytes, BodiesThatAreParsed) {
   const auto startup = [](std::string_view body) {
-    return Parsed([&]() -> std::string {
-      switch (ParseStartup(body)) {
-        case StartupKind::kSession:
-          return "session";
-        case StartupKind::kEncryption:
-          return "encryption";
-        case StartupKind::kCancel:
-          return "cancel";
-      }
-      return "none";
+    return Described(ParseStartup(body), [](StartupKind kind) {
+      return kind == StartupKind::kSession      ? "session"
+             : kind == StartupKind::kEncryption ? "encryption"
+                                                : "cancel";
     });
   };
   EXPECT_EQ(startup({"\0\3\0\0user\0api\0\0", 14}), "session");
@@ -176,8 +162,7 @@
   EXPECT_EQ(startup({"\0\3\0", 3}), "error: a message is shorter than its fields");
 
   const auto error = [](std::string_view body) {
-    return Parsed([&] {
-      const ErrorFields fields = ParseError(body);
+    return Described(ParseError(body), [](const ErrorFields& fields) {
       return fields.code + "|" + fields.message + (fields.fatal ? "|fatal" : "");
     });
   };
@@ -191,9 +176,8 @@
   EXPECT_EQ(error({"\0x", 2}), "error: an error goes on behind its end");
 
   const auto parameter = [](std::string_view body) {
-    return Parsed([&] {
-      const auto [name, value] = ParseParameterStatus(body);
-      return std::string(name) + "=" + std::string(value);
+    return Described(ParseParameterStatus(body), [](const ParameterStatus& status) {
+      return std::string(status.name) + "=" + std::string(status.value);
     });
   };
   EXPECT_EQ(parameter({"a\0b\0", 4}), "a=b");
@@ -202,10 +186,8 @@
   EXPECT_EQ(parameter({"a\0b\0c", 5}), "error: a parameter goes on behind its end");
 
   const auto description = [](std::string_view body) {
-    return Parsed([&]() -> std::string {
-      CheckSingleColumn(body);
-      return "one column";
-    });
+    const auto found = CheckSingleColumnDescription(body);
+    return found ? ErrorText(*found) : "one column";
   };
   constexpr std::string_view kDescription("\0\1blob\0\0\0\0\0\0\0\0\0\0\21\xff\xff\xff\xff\xff\xff\0\1", 25);
   EXPECT_EQ(description(kDescription), "one column");
@@ -215,30 +197,28 @@
   EXPECT_EQ(description({"\0", 1}), "error: not just one column is described");
   EXPECT_EQ(description({"\0\1a", 3}), "error: a text in a message does not end");
 
-  const auto row = [](std::string_view body) {
-    return Parsed([&] { return Escaped(ParseSingleColumn(body)); });
-  };
+  const auto row = [](std::string_view body) { return Described(ParseSingleColumn(body), Escaped); };
   EXPECT_EQ(row({"\0\1\0\0\0\2\0v", 8}), "\\00v");
   EXPECT_EQ(row({"\0\1\0\0\0\0", 6}), "");
   EXPECT_EQ(row({"\0\2\0\0\0\0", 6}), "error: a row has not just one column");
   EXPECT_EQ(row({"\0\1\0\0\0", 5}), "error: a row has not just one column");
   EXPECT_EQ(row({"\0\1\xff\xff\xff\xff", 6}), "error: a row's value does not fill it");
 
-  const auto query = [](std::string_view body) {
-    return Parsed([&] { return std::string(ParseQuery(body)); });
-  };
+  const auto query = [](std::string_view body) { return Described(ParseQuery(body)); };
   EXPECT_EQ(query({"SELECT 1\0", 9}), "SELECT 1");
   EXPECT_EQ(query("SELECT 1"), "error: a text in a message does not end");
   EXPECT_EQ(query({"a\0b", 3}), "error: a query goes on behind its end");
 }
 
 // An answer's messages one after the other: what each says, and what they amount to behind it.
-std::string Answered(const std::vector<Message>& messages, AnswerReader::Query kind) {
-  AnswerReader reader(kind);
+std::string Answered(const std::vector<Message>& messages, QueryKind kind) {
+  QueryResponseReader reader(kind);
   std::string seen;
   for (const Message& message : messages) {
-    seen += Parsed([&]() -> std::string { return reader.Take(message) ? "complete" : "more"; });
-    const auto outcome = reader.Settled();
+    seen += Described(reader.Read(message), [](ResponseProgress progress) {
+      return progress == ResponseProgress::kComplete ? "complete" : "more";
+    });
+    const auto outcome = reader.outcome();
     if (outcome) {
       seen += " status=" + std::to_string(static_cast<int>(outcome->status)) +
               " role=" + std::to_string(static_cast<int>(outcome->role)) +
@@ -269,7 +249,7 @@
                                      {'A', ""},
                                      {'Z', "I"}};
   const std::string whole = "value=v tag=SELECT 1\\00 shape=25\n";
-  EXPECT_EQ(Answered(good, AnswerReader::Query::kStatement),
+  EXPECT_EQ(Answered(good, QueryKind::kStatement),
             "more\nmore\nmore\nmore status=0 role=0 position=-1 report=0 " + whole +
                 "more status=0 role=2 position=-1 report=0 " + whole +
                 "more status=0 role=2 position=12 report=0 " + whole +
@@ -297,7 +277,7 @@
                                        {'Z', "I"},
                                        {'Z', "T"},
                                        {'G', ""}};
-  for (const auto kind : {AnswerReader::Query::kStatement, AnswerReader::Query::kProbe}) {
+  for (const auto kind : {QueryKind::kStatement, QueryKind::kProbe}) {
     for (std::size_t at = 0; at <= good.size(); ++at) {
       for (const Message& other : others) {
         std::vector<Message> messages(good.begin(), good.begin() + static_cast<std::ptrdiff_t>(at));
@@ -309,15 +289,16 @@
   EXPECT_EQ(Digest(all), 2607862533572234615u);
 }
 
-std::string Described(std::string_view text) {
+std::string DescribedStatement(std::string_view text) {
   const auto statement = ParseStatement(text);
   if (!statement) return "none";
   const auto& s = *statement;
-  return "id=" + Escaped(s.id) + " class=" + Escaped(s.class_name) + " tenant=" + Escaped(s.tenant) +
-         " key=" + Escaped(s.key) + " repeat_key=" + Escaped(s.repeat_key) +
-         " wait=" + std::to_string(s.wait_ms) + "@" + std::to_string(s.wait_at) + "+" +
-         std::to_string(s.wait_size) + " after=" + std::to_string(s.after_ms.value_or(-1)) +
-         " cluster=" + std::to_string(s.cluster) + (s.writes ? " writes" : "") + (s.repeat ? " repeat" : "");
+  return "id=" + Escaped(s.request_id) + " class=" + Escaped(s.class_name) + " tenant=" + Escaped(s.tenant) +
+         " key=" + Escaped(s.key) + " repeat_key=" + Escaped(s.idempotency_key) +
+         " wait=" + std::to_string(s.timeout_ms) + "@" + std::to_string(s.timeout_offset) + "+" +
+         std::to_string(s.timeout_size) + " after=" + std::to_string(s.read_after_ms.value_or(-1)) +
+         " cluster=" + std::to_string(s.cluster) + (s.is_write ? " writes" : "") +
+         (s.is_retry ? " repeat" : "");
 }
 
 constexpr std::string_view kSelect =
@@ -329,20 +310,23 @@
 
 TEST(GoldenBytes, StatementsThatAreParsed) {
   EXPECT_EQ(
-      Described(kSelect),
+      DescribedStatement(kSelect),
       "id=9b1f class=basket tenant=acme key=7f3a repeat_key= wait=480@73+3 after=1767225600123 cluster=2");
-  EXPECT_EQ(Described(kInsert),
+  EXPECT_EQ(DescribedStatement(kInsert),
             "id=1 class=w tenant= key=k1 repeat_key=5c0f wait=5@88+1 after=-1 cluster=0 writes repeat");
-  EXPECT_EQ(Described(" select\tblob from rows where handle='a b'/*d=0,id=x,c=y,unknown=1,r=2*/"), "none");
-  EXPECT_EQ(Described("select BLOB from ROWS where handle='a b'/*d=0,id=x,c=y,unknown=1,r=2*/"),
+  EXPECT_EQ(DescribedStatement(" select\tblob from rows where handle='a b'/*d=0,id=x,c=y,unknown=1,r=2*/"),
+            "none");
+  EXPECT_EQ(DescribedStatement("select BLOB from ROWS where handle='a b'/*d=0,id=x,c=y,unknown=1,r=2*/"),
             "id=x class=y tenant= key=a b repeat_key= wait=0@44+1 after=-1 cluster=0");
-  EXPECT_EQ(Described("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=86400000 */"),
+  EXPECT_EQ(DescribedStatement("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=86400000 */"),
             "id=1 class=a tenant= key=h repeat_key= wait=86400000@55+8 after=-1 cluster=0");
-  EXPECT_EQ(Described("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=86400001 */"), "none");
-  EXPECT_EQ(Described("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=1,after=-1 */"), "none");
-  EXPECT_EQ(Described("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=1,cluster=-1 */"), "none");
-  EXPECT_EQ(Described("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=1,k */"), "none");
-  EXPECT_EQ(Described("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=1,k= */"),
+  EXPECT_EQ(DescribedStatement("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=86400001 */"), "none");
+  EXPECT_EQ(DescribedStatement("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=1,after=-1 */"),
+            "none");
+  EXPECT_EQ(DescribedStatement("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=1,cluster=-1 */"),
+            "none");
+  EXPECT_EQ(DescribedStatement("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=1,k */"), "none");
+  EXPECT_EQ(DescribedStatement("SELECT blob FROM rows WHERE handle = 'h' /* id=1,c=a,d=1,k= */"),
             "id=1 class=a tenant= key=h repeat_key= wait=1@55+1 after=-1 cluster=0");
   std::string all;
   for (unsigned seed = 0; seed < 4000; ++seed) {
@@ -352,7 +336,7 @@
       const std::size_t at = random() % text.size();
       text[at] = seed % 3 == 0 ? static_cast<char>(random()) : text[random() % text.size()];
     }
-    all += Described(text) + "\n";
+    all += DescribedStatement(text) + "\n";
   }
   EXPECT_EQ(Digest(all), 494648204008448262u);
 }
@@ -361,7 +345,7 @@
   std::string all;
   for (const std::string_view text : {"", " ;\n", "SET", "set x to 1", "Reset ALL;", "DISCARD ALL", "SETTLE",
                                       "SET;x", "\tdiscard", "SELECT"}) {
-    all += std::to_string(static_cast<int>(HousekeepingOf(text)));
+    all += std::to_string(static_cast<int>(ParseSessionCommand(text)));
   }
   EXPECT_EQ(all, "1122340240");
 }
@@ -375,17 +359,18 @@
     for (unsigned i = 0; i < 1 + seed % 8; ++i) bytes[random() % bytes.size()] = static_cast<char>(random());
     MessageReader reader = seed % 3 == 0   ? MessageReader(true, 4096)
                            : seed % 3 == 1 ? MessageReader(false, 4096)
-                                           : MessageReader::ForAnswers();
+                                           : MessageReader::ForResponses();
     reader.Feed(bytes);
-    all += std::to_string(reader.Wanted()) + ReadAll(reader);
+    all += std::to_string(reader.PendingMessageSize().value_or(0)) + ReadAll(reader);
     const std::size_t from = random() % bytes.size();
     const std::size_t size = random() % 40;
     const std::string_view tail = std::string_view(bytes).substr(from, size);
-    all += Parsed([&] { return std::to_string(static_cast<int>(ParseStartup(tail))); });
-    all += Parsed([&] { return ParseError(tail).code; });
-    all += Parsed([&] { return std::string(ParseParameterStatus(tail).first); });
-    all += Parsed([&] { return std::string(ParseSingleColumn(tail)); });
-    all += Parsed([&] { return std::string(ParseQuery(tail)); });
+    all += Described(ParseStartup(tail),
+                     [](StartupKind kind) { return std::to_string(static_cast<int>(kind)); });
+    all += Described(ParseError(tail), [](const ErrorFields& fields) { return fields.code; });
+    all += Described(ParseParameterStatus(tail), [](const ParameterStatus& status) { return status.name; });
+    all += Described(ParseSingleColumn(tail));
+    all += Described(ParseQuery(tail));
     all += std::to_string(ParseReport(std::string(tail)).size());
   }
   EXPECT_EQ(Digest(all), 15749585657316878885u);
@@ -394,12 +379,11 @@
 // Rows that are too large to be held: the size of the value, then its bytes as they come.
 TEST(GoldenBytes, LargeRows) {
   const auto head = [](std::string_view bytes) {
-    MessageReader reader = MessageReader::ForAnswers();
+    MessageReader reader = MessageReader::ForResponses();
     reader.Feed(bytes);
-    return Parsed([&] {
-      const auto size = reader.NextLargeRow();
-      return size ? std::to_string(*size) + " " + std::to_string(reader.buffered()) : std::string("none");
-    });
+    const auto size = reader.NextLargeRow();
+    if (reader.error()) return ErrorText(*reader.error());
+    return size ? std::to_string(*size) + " " + std::to_string(reader.buffered()) : std::string("none");
   };
   EXPECT_EQ(head({"D\0\1\0\x0a\0\1\0\1\0\0", 11}), "none");  // 64 KiB: held
   EXPECT_EQ(head({"D\0\1\0\x0b\0\1\0\1\0\1", 11}), "65537 0");
--- /dev/null
+++ b/tests/pg/statement_test.cpp
@@ -0,0 +1,89 @@
+// What is read from a statement, and which statements are refused.
+#include "src/pg/statement.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "src/exchange/exchange.hpp"
+
+namespace tulipyoke::pg {
+namespace {
+
+constexpr std::string_view kSelect =
+    "SELECT blob FROM rows WHERE handle = '7f3a' /* "
+    "id=9b1f,c=basket,t=acme,d=480,cluster=2,after=1767225600123 */";
+
+TEST(Statement, FieldsAreTakenAndOnlyTheWaitIsRewritten) {
+  const auto s = ParseStatement(kSelect);
+  ASSERT_TRUE(s);
+  EXPECT_EQ(s->class_name, "basket");
+  EXPECT_EQ(s->tenant, "acme");
+  EXPECT_EQ(s->key, "7f3a");
+  EXPECT_EQ(s->timeout_ms, 480);
+  EXPECT_EQ(s->cluster, 2);
+  EXPECT_EQ(s->read_after_ms, 1767225600123);
+  EXPECT_FALSE(s->is_retry);
+  const Payload payload{std::string(kSelect), s->timeout_offset, s->timeout_size};
+  std::string expected(kSelect);
+  expected.replace(expected.find("480"), 3, "77");
+  EXPECT_EQ(std::string(payload.Before()) + "77" + std::string(payload.Behind()), expected);
+  const auto insert = ParseStatement(
+      "INSERT INTO rows (handle, blob) VALUES ('k1', '\\x9f03') RETURNING blob /* id=1,c=w,t=,d=5,k=5c0f,r=1 "
+      "*/ ; ");
+  ASSERT_TRUE(insert);
+  EXPECT_EQ(insert->key, "k1");
+  EXPECT_EQ(insert->idempotency_key, "5c0f");
+  EXPECT_TRUE(insert->is_retry);
+}
+
+// Guards against passing on a statement in a form that no client sends.
+TEST(Statement, WhatLacksAFieldIsNoRequest) {
+  const std::string select = "SELECT blob FROM rows WHERE handle = 'h' ";
+  const std::string insert = "INSERT INTO rows (handle, blob) VALUES ('h', '\\x00') RETURNING blob ";
+  const std::string facts = "/* id=1,c=a,d=5 */";
+  EXPECT_TRUE(ParseStatement(select + facts));
+  EXPECT_FALSE(ParseStatement(select + facts)->is_write);
+  EXPECT_TRUE(ParseStatement(insert + facts)->is_write);
+  for (const std::string& text :
+       {std::string(),
+        std::string("SELECT 1"),
+        std::string("/* */"),
+        std::string("/*/"),
+        std::string("*/"),
+        select,
+        facts,
+        "S " + facts,
+        "DROP TABLE rows " + facts,
+        select + "; DROP TABLE rows " + facts,
+        "SELECT blob FROM rows WHERE handle = 'h " + facts,
+        "SELECT blob FROM rows WHERE handle = '' " + facts,
+        "INSERT INTO rows (handle, blob) VALUES ('h', 'zz') RETURNING blob " + facts,
+        "INSERT INTO rows (handle, blob) VALUES ('h', '\\x0') RETURNING blob " + facts,
+        select + "/* id=1,c=a */",
+        select + "/* c=a,d=5 */",
+        select + "/* id=,c=a,d=5 */",
+        select + "/* id=1,d=5 */",
+        select + "/* id=1,c=a,d=-5 */",
+        select + "/* id=1,c=a,d= */",
+        select + "/* id=1,c=a,d=99999999999999999999 */",
+        select + "/* id=1,c=a,d=5x */",
+        select + "/* id=1,c=a,d=5,cluster=x */",
+        select + "/* id=1,id=2,c=a,d=5 */",
+        select + "/* id=1\x01,c=a,d=5 */",
+        select + "/* id=1,c=a,d=5 */ x"}) {
+    EXPECT_FALSE(ParseStatement(text)) << text;
+  }
+  for (unsigned seed = 0; seed < 2000; ++seed) {
+    std::mt19937 random(seed);
+    std::string text(kSelect);
+    for (int i = 0; i < 4; ++i) text[random() % text.size()] = static_cast<char>(random());
+    const auto s = ParseStatement(text);
+    EXPECT_TRUE(!s || s->timeout_offset + s->timeout_size <= text.size()) << text;
+  }
+}
+
+}  // namespace
+}  // namespace tulipyoke::pg
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -169,7 +169,7 @@
   void Greet(std::size_t which) {
     std::string hello;
     pg::AppendAuthenticationOk(hello);
-    pg::AppendReady(hello);
+    pg::AppendReadyForQuery(hello);
     Say(which, hello);
   }
 
