--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -100,7 +100,7 @@
   return options;
 }
 
-PoolOptions PoolOptionsOf(const Config& config) {
+UpstreamPoolOptions PoolOptionsOf(const Config& config) {
   return {config.connect_timeout, config.idle_close, BudgetOf(config, 1).servers};
 }
 
@@ -232,7 +232,7 @@
 
 void Node::Shrink() {
   if (service_.state() != Service::State::kHandedOver) return;
-  pool_.Resize(exchange_.live() + kServersSpare);
+  pool_.SetMaxConnections(exchange_.live() + kServersSpare);
   const auto held = static_cast<int>(front_.clients() + pool_.connections()) + kOwnDescriptors;
   if (held < told_holds_) handover_.TellNewer(HandoverHolds{told_holds_ = held});
   shrink_timer_.In(kShrinkEvery, [this] { Shrink(); });
@@ -261,7 +261,7 @@
 void Node::Take(double share) {
   const Budget budget = BudgetOf(config_, share);
   front_.Resize(budget.clients);
-  pool_.Resize(budget.servers);
+  pool_.SetMaxConnections(budget.servers);
 }
 
 // Behind each handler: what one of them ended, the next one of the same turn must not begin.
@@ -308,11 +308,11 @@
 void Node::Carry(const Command& command) {
   if (const auto* attempt = std::get_if<StartAttempt>(&command)) return pool_.Start(*attempt);
   if (const auto* probe = std::get_if<StartProbe>(&command)) return pool_.Start(*probe);
-  if (const auto* end = std::get_if<EndTicket>(&command)) return pool_.End(end->ticket);
+  if (const auto* end = std::get_if<EndTicket>(&command)) return pool_.Cancel(end->ticket);
   if (const auto* address = std::get_if<SetAddress>(&command)) {
     return pool_.SetAddress(address->server, address->address);
   }
-  if (const auto* forget = std::get_if<ForgetServer>(&command)) return pool_.Forget(forget->server);
+  if (const auto* forget = std::get_if<ForgetServer>(&command)) return pool_.Drain(forget->server);
   if (const auto* idle = std::get_if<CloseIdleConnections>(&command)) return pool_.CloseIdle(idle->server);
   if (const auto* answer = std::get_if<AnswerRequest>(&command))
     return front_.Deliver(answer->id, answer->answer);
@@ -391,7 +391,7 @@
     return std::string(" ") + name + "=" + std::to_string(value);
   };
   const FrontCounters& f = front_.counters();
-  const PoolCounters& p = pool_.counters();
+  const UpstreamPoolCounters& p = pool_.counters();
   const DiscoveryCounters& d = discovery_.counters();
   LogInfo("figures", "figures: " + ToText(exchange_.FiguresAt(clock_.Now()), ' '));
   LogInfo("requests", "requests: " + ToText(exchange_.counters()));
@@ -400,9 +400,10 @@
                          text("silent", f.silent) + text("malformed", f.malformed) +
                          text("accept_errors", f.accept_errors));
   LogInfo("servers", "servers:" + text("open", pool_.connections()) + text("opened", p.opened) +
-                         text("open_failed", p.open_failed) + text("retired", p.retired) +
-                         text("given_up", p.given_up) + text("broken", p.broken) +
-                         text("garbage", p.garbage) + text("stray", p.stray) + text("no_room", p.no_room));
+                         text("open_failed", p.connect_failed) + text("retired", p.idle_closed) +
+                         text("given_up", p.abandoned) + text("broken", p.broken) +
+                         text("garbage", p.malformed) + text("stray", p.unsolicited) +
+                         text("no_room", p.exhausted));
   if (door_) {
     const DoorCounters& o = door_->counters();
     LogInfo("door", "door:" + text("calls", o.calls) + text("bad", o.bad) + text("silent", o.silent));
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -17,8 +17,8 @@
 #include "src/net/door.hpp"
 #include "src/net/front.hpp"
 #include "src/net/handover.hpp"
-#include "src/net/pool.hpp"
 #include "src/net/service.hpp"
+#include "src/upstream/upstream_pool.hpp"
 
 namespace tulipyoke::net {
 
@@ -68,7 +68,7 @@
   LoopClock clock_;
   Exchange exchange_;
   Service service_;
-  ServerPool pool_;
+  UpstreamPool pool_;
   ClientFront front_;
   std::unique_ptr<Directory> directory_;  // none: the registry is the only source
   DiscoveryWatch discovery_;
--- /dev/null
+++ b/src/upstream/upstream_connection.cpp
@@ -0,0 +1,244 @@
+#include "src/upstream/upstream_connection.hpp"
+
+#include <utility>
+
+#include "src/pg/message_parser.hpp"
+#include "src/pg/message_types.hpp"
+#include "src/pg/sqlstate.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+// A server may send more than was asked for right behind a response.
+constexpr Micros kRestTime = 2'000;
+// A value that is streamed is given up when nothing has come for so long; until then its server may only be
+// slow.
+constexpr Micros kStallTimeout = 10'000'000;
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(asio::io_context& io, LoopClock& clock,
+                                       UpstreamConnectionListener& listener, ServerId server,
+                                       const asio::ip::tcp::endpoint& endpoint)
+    : clock_(clock),
+      listener_(listener),
+      socket_(io),
+      timer_(io),
+      server_(server),
+      endpoint_(endpoint),
+      reader_(pg::MessageReader::ForResponses()) {}
+
+void UpstreamConnection::Connect(Micros timeout) {
+  timer_.At(clock_.ToSteady(clock_.Now() + timeout), [weak = weak_from_this()] {
+    if (const UpstreamConnectionPtr self = weak.lock()) self->Fail(ConnectionFault::kConnectFailed);
+  });
+  socket_.async_connect(endpoint_,
+                        [self = shared_from_this()](std::error_code error) { self->OnConnected(error); });
+}
+
+void UpstreamConnection::OnConnected(std::error_code error) {
+  if (state_ != State::kConnecting) return;
+  if (!error) socket_.non_blocking(true, error);
+  if (error) return Fail(ConnectionFault::kConnectFailed);
+  std::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  outgoing_.SetStartup();
+  Write();
+  if (!IsClosed()) Read();
+}
+
+void UpstreamConnection::BecomeIdle() {
+  state_ = State::kIdle;
+  idle_since_ = clock_.Now();
+}
+
+void UpstreamConnection::Run(const PendingOperation& operation) {
+  const bool is_probe = operation.payload == nullptr;
+  state_ = State::kBusy;
+  ticket_ = operation.ticket;
+  latest_start_ = operation.latest_start;
+  response_ = pg::QueryResponseReader(is_probe ? pg::QueryKind::kProbe : pg::QueryKind::kStatement);
+  transfer_.reset();
+  value_remaining_ = 0;
+  if (is_probe) {
+    outgoing_.SetProbe();
+  } else {
+    outgoing_.SetStatement(operation.payload, operation.client_deadline - clock_.Now());
+  }
+  Write();
+}
+
+void UpstreamConnection::RestBeforeReady() {
+  timer_.At(clock_.ToSteady(clock_.Now() + kRestTime), [weak = weak_from_this()] {
+    if (const UpstreamConnectionPtr self = weak.lock()) self->listener_.OnReady(self);
+  });
+}
+
+void UpstreamConnection::Close() {
+  state_ = State::kClosed;
+  transfer_.reset();
+  timer_.Off();
+  std::error_code ignored;
+  socket_.close(ignored);
+}
+
+std::optional<Outcome> UpstreamConnection::outcome() const {
+  if (state_ != State::kBusy) return std::nullopt;
+  return response_.outcome();
+}
+
+bool UpstreamConnection::IsQuiet() {
+  char byte = 0;
+  std::error_code error;
+  socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+bool UpstreamConnection::IsStalled() {
+  return transfer_ && !reading_paused_ && clock_.Now() - last_read_ > kStallTimeout;
+}
+
+// Written at once, as far as the socket takes it, so that outgoing_ is true at every moment. A handler that
+// told later what the socket took could come behind that of the connection's end, and an attempt whose last
+// byte is out would be taken for one that was never sent.
+void UpstreamConnection::Write() {
+  const std::error_code error = outgoing_.WriteTo(socket_);
+  if (error == asio::error::would_block) {
+    socket_.async_wait(asio::socket_base::wait_write,
+                       [self = shared_from_this()](std::error_code failed) { self->OnWritable(failed); });
+    return;
+  }
+  if (error) return Fail(ConnectionFault::kBroken);
+  outgoing_.ReleasePayload();
+  if (state_ == State::kBusy) listener_.OnWritten(shared_from_this());
+}
+
+void UpstreamConnection::OnWritable(std::error_code error) {
+  if (error || IsClosed()) return;
+  // The server begins with the last byte: sent now, the statement could take effect a second time.
+  if (state_ == State::kBusy && latest_start_ < clock_.Now()) return Fail(ConnectionFault::kStartTooLate);
+  Write();
+}
+
+void UpstreamConnection::Read() {
+  socket_.async_read_some(
+      asio::buffer(read_buffer_),
+      [self = shared_from_this()](std::error_code error, std::size_t size) { self->OnRead(error, size); });
+}
+
+void UpstreamConnection::OnRead(std::error_code error, std::size_t size) {
+  if (IsClosed()) return;
+  if (error) return Fail(ConnectionFault::kBroken);
+  OnBytes(std::string_view(read_buffer_.data(), size));
+  if (!IsClosed() && !reading_paused_) Read();
+}
+
+void UpstreamConnection::OnBytes(std::string_view bytes) {
+  const bool expects_data = state_ == State::kConnecting || state_ == State::kBusy;
+  if (!expects_data) return Fail(ConnectionFault::kUnsolicitedData);
+  reader_.Feed(bytes);
+  last_read_ = clock_.Now();
+  while (!IsClosed() && ReadNext()) {
+  }
+}
+
+// The next message, or the next piece of a value that is streamed; false where more bytes are needed.
+bool UpstreamConnection::ReadNext() {
+  if (value_remaining_ > 0) return ForwardValue();
+  if (state_ == State::kBusy) {
+    if (const std::optional<std::size_t> size = reader_.NextLargeRow()) {
+      OnLargeRow(*size);
+      return true;
+    }
+  }
+  const std::optional<pg::Message> message = reader_.error() ? std::nullopt : reader_.Next();
+  if (reader_.error()) {
+    Fail(ConnectionFault::kMalformed);
+    return false;
+  }
+  if (!message) return false;
+  OnMessage(*message);
+  return true;
+}
+
+void UpstreamConnection::OnMessage(const pg::Message& message) {
+  switch (state_) {
+    case State::kConnecting:
+      return OnStartupMessage(message);
+    case State::kBusy:
+      return OnResponseMessage(message);
+    case State::kResting:
+    case State::kIdle:
+    case State::kClosed:
+      return;
+  }
+}
+
+void UpstreamConnection::OnStartupMessage(const pg::Message& message) {
+  switch (message.type) {
+    case pg::backend::kAuthentication: {
+      const pg::Result<pg::Authentication> authentication = pg::ParseAuthentication(message.body);
+      const bool done = authentication.ok() && *authentication == pg::Authentication::kDone;
+      if (!done) Fail(ConnectionFault::kMalformed);
+      return;
+    }
+    case pg::backend::kErrorResponse:
+      return OnStartupError(message.body);
+    case pg::backend::kReadyForQuery:
+      timer_.Off();
+      return listener_.OnReady(shared_from_this());
+    case pg::backend::kParameterStatus:
+    case pg::backend::kBackendKeyData:
+    case pg::backend::kNoticeResponse:
+      return;
+    default:
+      return Fail(ConnectionFault::kMalformed);
+  }
+}
+
+void UpstreamConnection::OnStartupError(std::string_view body) {
+  const pg::Result<pg::ErrorFields> fields = pg::ParseError(body);
+  if (!fields) return Fail(ConnectionFault::kMalformed);
+  const bool is_full = fields->code == pg::sqlstate::kTooManyConnections;
+  Fail(is_full ? ConnectionFault::kServerFull : ConnectionFault::kConnectFailed);
+}
+
+void UpstreamConnection::OnResponseMessage(const pg::Message& message) {
+  const pg::Result<pg::ResponseProgress> progress = response_.Read(message);
+  if (!progress) return Fail(ConnectionFault::kMalformed);
+  if (*progress == pg::ResponseProgress::kIncomplete) return;
+  transfer_.reset();
+  reading_paused_ = false;  // what the client has not taken yet is the transfer's
+  Outcome outcome = *response_.outcome();
+  state_ = State::kResting;
+  listener_.OnResponse(shared_from_this(), std::move(outcome));
+}
+
+void UpstreamConnection::OnLargeRow(std::size_t size) {
+  if (response_.BeginRow()) return Fail(ConnectionFault::kMalformed);
+  transfer_ = listener_.OnLargeValue(shared_from_this(), response_.row_description(), size);
+  if (!transfer_) return Fail(ConnectionFault::kValueNotWanted);
+  value_remaining_ = size;
+  transfer_->on_room = [weak = weak_from_this()] {
+    if (const UpstreamConnectionPtr self = weak.lock()) self->ResumeReading();
+  };
+}
+
+// False where more bytes are needed.
+bool UpstreamConnection::ForwardValue() {
+  const std::string_view bytes = reader_.TakeValue(value_remaining_);
+  value_remaining_ -= bytes.size();
+  // The transfer's observers may close this connection, and with it drop its own reference.
+  const std::shared_ptr<Transfer> transfer = transfer_;
+  if (!bytes.empty()) reading_paused_ = !transfer->Give(bytes);
+  return value_remaining_ == 0;
+}
+
+void UpstreamConnection::ResumeReading() {
+  if (IsClosed() || !reading_paused_) return;
+  reading_paused_ = false;
+  last_read_ = clock_.Now();
+  Read();
+}
+
+}  // namespace tulipyoke::net
--- /dev/null
+++ b/src/upstream/upstream_pool.cpp
@@ -0,0 +1,342 @@
+#include "src/upstream/upstream_pool.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <exception>
+#include <utility>
+
+#include "src/log/log.hpp"
+#include "src/net/address.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+using State = UpstreamConnection::State;
+
+void Remove(std::vector<UpstreamConnectionPtr>& list, const UpstreamConnectionPtr& connection) {
+  const auto found = std::find(list.begin(), list.end(), connection);
+  if (found != list.end()) list.erase(found);
+}
+
+}  // namespace
+
+UpstreamPool::UpstreamPool(asio::io_context& io, LoopClock& clock, Exchange& exchange,
+                           const UpstreamPoolOptions& options)
+    : io_(io),
+      clock_(clock),
+      exchange_(exchange),
+      options_(options),
+      idle_policy_(options.server_idle_timeout),
+      maintenance_timer_(io) {
+  ScheduleMaintenance();
+}
+
+UpstreamPool::~UpstreamPool() { Stop(); }
+
+void UpstreamPool::Start(const StartAttempt& attempt) {
+  StartOperation(attempt.server, {attempt.ticket, attempt.payload, attempt.give_up, attempt.start_by});
+}
+
+void UpstreamPool::Start(const StartProbe& probe) { StartOperation(probe.server, {probe.ticket}); }
+
+void UpstreamPool::StartOperation(ServerId server, PendingOperation operation) {
+  Upstream& upstream = upstreams_[server];
+  if (!upstream.endpoint) return Finish(operation.ticket, Outcome{.status = Status::kConnectFailed});
+  if (const UpstreamConnectionPtr connection = TakeIdle(upstream)) return Run(connection, operation);
+  pending_.Push(server, std::move(operation));
+  OpenForPending(server);
+}
+
+// The age is checked again, since maintenance may come round less often than connections expire.
+UpstreamConnectionPtr UpstreamPool::TakeIdle(Upstream& upstream) {
+  while (!upstream.idle.empty()) {
+    const UpstreamConnectionPtr connection = upstream.idle.back();
+    if (connection->idle_since() < idle_policy_.OldestUsable(clock_.Now())) {
+      ++counters_.idle_closed;
+      Close(connection);
+    } else if (!connection->IsQuiet()) {
+      ++counters_.unsolicited;
+      Close(connection);
+    } else {
+      upstream.idle.pop_back();
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void UpstreamPool::OpenForPending(ServerId server) {
+  const Upstream& upstream = upstreams_[server];
+  while (upstream.upcoming() < pending_.Count(server)) {
+    if (connections_ < options_.max_connections || EvictIdle()) {
+      Open(server);
+      continue;
+    }
+    ++counters_.exhausted;
+    Finish(pending_.TakeLast(server).ticket, Outcome{.status = Status::kConnectFailed});
+  }
+}
+
+void UpstreamPool::Open(ServerId server) {
+  Upstream& upstream = upstreams_[server];
+  const auto connection = std::make_shared<UpstreamConnection>(
+      io_, clock_, static_cast<UpstreamConnectionListener&>(*this), server, *upstream.endpoint);
+  upstream.connecting.push_back(connection);
+  ++connections_;
+  ++counters_.opened;
+  connection->Connect(options_.connect_timeout);
+}
+
+void UpstreamPool::Run(const UpstreamConnectionPtr& connection, const PendingOperation& operation) {
+  // Its connection took too long: sent now, it could take effect a second time.
+  if (operation.latest_start < clock_.Now()) {
+    Finish(operation.ticket, Outcome{.status = Status::kMoot});
+    return OnReady(connection);
+  }
+  busy_[operation.ticket] = connection;
+  connection->Run(operation);
+}
+
+void UpstreamPool::OnReady(const UpstreamConnectionPtr& connection) {
+  const ServerId server = connection->server();
+  Upstream& upstream = upstreams_[server];
+  if (connection->endpoint() != upstream.endpoint) return Replace(connection);  // the server has moved
+  if (connection->has_partial_messages() || !connection->IsQuiet()) return OnUnsolicitedData(connection);
+  if (connection->state() == State::kConnecting) Remove(upstream.connecting, connection);
+  if (connection->state() == State::kResting) --upstream.resting;
+  connection->BecomeIdle();
+  if (pending_.Count(server) > 0) return Run(connection, pending_.TakeFirst(server));
+  upstream.idle.push_back(connection);
+}
+
+void UpstreamPool::OnWritten(const UpstreamConnectionPtr& connection) {
+  exchange_.Written(connection->ticket());
+}
+
+std::shared_ptr<Transfer> UpstreamPool::OnLargeValue(const UpstreamConnectionPtr& connection,
+                                                     const std::string& row_description, std::size_t size) {
+  return exchange_.Begin(clock_.Now(), connection->ticket(), row_description, size);
+}
+
+void UpstreamPool::OnResponse(const UpstreamConnectionPtr& connection, Outcome outcome) {
+  const Ticket ticket = connection->ticket();
+  busy_.erase(ticket);
+  ++upstreams_[connection->server()].resting;
+  // A response that came before all of the statement was sent: the next query would come behind the rest.
+  if (connection->has_partial_messages()) {
+    OnUnsolicitedData(connection);
+  } else {
+    connection->RestBeforeReady();
+  }
+  Finish(ticket, std::move(outcome));
+}
+
+void UpstreamPool::OnFault(const UpstreamConnectionPtr& connection, ConnectionFault fault) {
+  switch (fault) {
+    case ConnectionFault::kConnectFailed:
+      return OnConnectFailed(connection, Status::kConnectFailed);
+    case ConnectionFault::kServerFull:
+      return OnConnectFailed(connection, Status::kFull);
+    case ConnectionFault::kBroken:
+      return OnBroken(connection);
+    case ConnectionFault::kMalformed:
+      return OnMalformed(connection);
+    case ConnectionFault::kUnsolicitedData:
+      return OnUnsolicitedData(connection);
+    case ConnectionFault::kStartTooLate:
+      return OnStartTooLate(connection);
+    case ConnectionFault::kValueNotWanted:
+      return Close(connection);
+  }
+}
+
+void UpstreamPool::OnConnectFailed(const UpstreamConnectionPtr& connection, Status status) {
+  ++counters_.connect_failed;
+  const ServerId server = connection->server();
+  Close(connection);
+  const Upstream& upstream = upstreams_[server];
+  while (pending_.Count(server) > upstream.upcoming()) {
+    Finish(pending_.TakeFirst(server).ticket, Outcome{.status = status});
+  }
+}
+
+void UpstreamPool::OnBroken(const UpstreamConnectionPtr& connection) {
+  if (connection->state() == State::kConnecting) return OnConnectFailed(connection, Status::kConnectFailed);
+  if (connection->state() != State::kBusy) return Replace(connection);
+  ++counters_.broken;
+  const Ticket ticket = connection->ticket();
+  // Without its last byte the server did not begin the statement.
+  const Status status = connection->all_sent() ? Status::kReset : Status::kConnectFailed;
+  Outcome outcome = connection->outcome().value_or(Outcome{.status = status});
+  Replace(connection);
+  Finish(ticket, std::move(outcome));
+}
+
+// The statement may have run, as with an error response; for the server it counts as any other failure.
+void UpstreamPool::OnMalformed(const UpstreamConnectionPtr& connection) {
+  ++counters_.malformed;
+  if (connection->state() != State::kBusy) return OnBroken(connection);
+  const Ticket ticket = connection->ticket();
+  Close(connection);
+  Finish(ticket, Outcome{.status = Status::kError});
+}
+
+void UpstreamPool::OnUnsolicitedData(const UpstreamConnectionPtr& connection) {
+  ++counters_.unsolicited;
+  Replace(connection);
+}
+
+void UpstreamPool::OnStartTooLate(const UpstreamConnectionPtr& connection) {
+  const Ticket ticket = connection->ticket();
+  Replace(connection);
+  Finish(ticket, Outcome{.status = Status::kMoot});
+}
+
+void UpstreamPool::Close(const UpstreamConnectionPtr& connection) {
+  Upstream& upstream = upstreams_[connection->server()];
+  switch (connection->state()) {
+    case State::kConnecting:
+      Remove(upstream.connecting, connection);
+      break;
+    case State::kResting:
+      --upstream.resting;
+      break;
+    case State::kIdle:
+      Remove(upstream.idle, connection);
+      break;
+    case State::kBusy:
+      busy_.erase(connection->ticket());
+      break;
+    case State::kClosed:
+      return;
+  }
+  connection->Close();
+  --connections_;
+}
+
+void UpstreamPool::Replace(const UpstreamConnectionPtr& connection) {
+  Close(connection);
+  OpenForPending(connection->server());
+}
+
+void UpstreamPool::Cancel(Ticket ticket) {
+  const auto busy = busy_.find(ticket);
+  if (busy == busy_.end()) return pending_.Remove(ticket);
+  ++counters_.abandoned;
+  const UpstreamConnectionPtr connection = busy->second;
+  Close(connection);
+}
+
+void UpstreamPool::SetAddress(ServerId server, const std::string& address) {
+  Upstream& upstream = upstreams_[server];
+  try {
+    upstream.endpoint = ToEndpoint(address);
+  } catch (const std::exception& error) {
+    upstream.endpoint.reset();
+    LogWarning("server_address_unusable", "a server has an unusable address: " + std::string(error.what()));
+  }
+  CloseIdle(server);
+  CloseConnecting(server);
+  if (upstream.endpoint) return OpenForPending(server);
+  FailPending(server);
+}
+
+void UpstreamPool::Drain(ServerId server) {
+  upstreams_[server].endpoint.reset();
+  CloseIdle(server);
+  CloseConnecting(server);
+  FailPending(server);
+}
+
+void UpstreamPool::CloseIdle(ServerId server) {
+  const std::vector<UpstreamConnectionPtr> idle = upstreams_[server].idle;
+  for (const UpstreamConnectionPtr& connection : idle) Close(connection);
+}
+
+void UpstreamPool::CloseConnecting(ServerId server) {
+  const std::vector<UpstreamConnectionPtr> connecting = upstreams_[server].connecting;
+  for (const UpstreamConnectionPtr& connection : connecting) Close(connection);
+}
+
+void UpstreamPool::SetMaxConnections(std::size_t max_connections) {
+  options_.max_connections = max_connections;
+  while (connections_ > max_connections && EvictIdle()) {
+  }
+}
+
+bool UpstreamPool::EvictIdle() {
+  UpstreamConnectionPtr oldest;
+  for (const auto& [server, upstream] : upstreams_) {
+    if (upstream.idle.empty()) continue;
+    const UpstreamConnectionPtr& candidate = upstream.idle.front();
+    if (!oldest || candidate->idle_since() < oldest->idle_since()) oldest = candidate;
+  }
+  if (!oldest) return false;
+  ++counters_.idle_closed;
+  Close(oldest);
+  return true;
+}
+
+void UpstreamPool::Finish(Ticket ticket, Outcome outcome) {
+  exchange_.Finished(clock_.Now(), ticket, std::move(outcome));
+}
+
+void UpstreamPool::FailPending(ServerId server) {
+  for (const PendingOperation& operation : pending_.TakeAll(server)) {
+    Finish(operation.ticket, Outcome{.status = Status::kConnectFailed});
+  }
+}
+
+void UpstreamPool::ScheduleMaintenance() {
+  maintenance_timer_.In(std::chrono::microseconds(idle_policy_.CheckInterval()), [this] {
+    RunMaintenance();
+    ScheduleMaintenance();
+  });
+}
+
+void UpstreamPool::RunMaintenance() {
+  CloseExpired();
+  CloseStalled();
+  EraseUnused();
+}
+
+void UpstreamPool::CloseExpired() {
+  for (auto& [server, upstream] : upstreams_) {
+    while (!upstream.idle.empty() &&
+           upstream.idle.front()->idle_since() <= idle_policy_.OldestUsable(clock_.Now())) {
+      ++counters_.idle_closed;
+      const UpstreamConnectionPtr expired = upstream.idle.front();
+      Close(expired);
+    }
+  }
+}
+
+void UpstreamPool::CloseStalled() {
+  std::vector<UpstreamConnectionPtr> stalled;
+  for (const auto& [ticket, connection] : busy_) {
+    if (connection->IsStalled()) stalled.push_back(connection);
+  }
+  for (const UpstreamConnectionPtr& connection : stalled) OnBroken(connection);
+}
+
+// An operation that still runs at a server that was drained makes its entry anew, until it has ended.
+void UpstreamPool::EraseUnused() {
+  std::erase_if(upstreams_, [this](const auto& entry) {
+    const auto& [server, upstream] = entry;
+    return !upstream.endpoint && upstream.idle.empty() && upstream.upcoming() == 0 &&
+           pending_.Count(server) == 0;
+  });
+}
+
+void UpstreamPool::Stop() {
+  maintenance_timer_.Off();
+  for (const auto& [server, upstream] : upstreams_) {
+    CloseIdle(server);
+    CloseConnecting(server);
+  }
+  std::vector<UpstreamConnectionPtr> busy;
+  for (const auto& [ticket, connection] : busy_) busy.push_back(connection);
+  for (const UpstreamConnectionPtr& connection : busy) Close(connection);
+}
+
+}  // namespace tulipyoke::net
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -642,12 +642,12 @@
 }
 
 // Guards against a repeat that is begun after its time because its connection was long in coming up.
-TEST(ServerPool, WhatIsTooLateIsNotBegun) {
+TEST(UpstreamPool, WhatIsTooLateIsNotBegun) {
   ScriptedServer server([](const std::string&) { return Row("v"); });
   asio::io_context io;
   LoopClock clock;
   Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
-  ServerPool pool(io, clock, exchange, {30'000'000, 30'000'000, 8});
+  UpstreamPool pool(io, clock, exchange, {30'000'000, 30'000'000, 8});
   pool.SetAddress(1, "127.0.0.1:" + std::to_string(server.port()));
   const auto payload = std::make_shared<const Payload>(Payload{"late", 0, 0});
   const auto in_time = std::make_shared<const Payload>(Payload{" is d", 0, 0});
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "src/exchange/exchange.hpp"
-#include "src/net/pool.hpp"
+#include "src/upstream/upstream_pool.hpp"
 #include "standins/pg_peer.hpp"
 
 namespace tulipyoke::net {
@@ -105,9 +105,9 @@
     for (auto commands = exchange.TakeCommands(); !commands.empty(); commands = exchange.TakeCommands()) {
       for (const Command& command : commands) {
         if (const auto* attempt = std::get_if<StartAttempt>(&command)) pool.Start(*attempt);
-        if (const auto* end = std::get_if<EndTicket>(&command)) pool.End(end->ticket);
+        if (const auto* end = std::get_if<EndTicket>(&command)) pool.Cancel(end->ticket);
         if (const auto* to = std::get_if<SetAddress>(&command)) pool.SetAddress(to->server, to->address);
-        if (const auto* forget = std::get_if<ForgetServer>(&command)) pool.Forget(forget->server);
+        if (const auto* forget = std::get_if<ForgetServer>(&command)) pool.Drain(forget->server);
         if (const auto* answer = std::get_if<AnswerRequest>(&command))
           answers.emplace(answer->id, answer->answer);
       }
@@ -124,7 +124,7 @@
   asio::io_context io;
   LoopClock clock;
   Exchange exchange;
-  ServerPool pool;
+  UpstreamPool pool;
   std::map<RequestId, Answer> answers;
 
  private:
