--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -312,7 +312,7 @@
   if (const auto* address = std::get_if<SetAddress>(&command)) {
     return pool_.SetAddress(address->server, address->address);
   }
-  if (const auto* forget = std::get_if<ForgetServer>(&command)) return pool_.Drain(forget->server);
+  if (const auto* forget = std::get_if<ForgetServer>(&command)) return pool_.RemoveServer(forget->server);
   if (const auto* idle = std::get_if<CloseIdleConnections>(&command)) return pool_.CloseIdle(idle->server);
   if (const auto* answer = std::get_if<AnswerRequest>(&command))
     return front_.Deliver(answer->id, answer->answer);
--- a/src/pg/result.hpp
+++ b/src/pg/result.hpp
@@ -12,8 +12,9 @@
 template <typename T>
 class [[nodiscard]] Result {
  public:
-  Result(T value) : content_(std::move(value)) {}   // NOLINT: implicit, so that parsers return either
-  Result(ProtocolError error) : content_(error) {}  // NOLINT
+  // Implicit, so that a parser returns a value or an error alike.
+  Result(T value) : content_(std::move(value)) {}   // NOLINT(google-explicit-constructor): see above
+  Result(ProtocolError error) : content_(error) {}  // NOLINT(google-explicit-constructor): see above
 
   bool ok() const { return std::holds_alternative<T>(content_); }
   explicit operator bool() const { return ok(); }
--- a/src/upstream/outgoing_message.cpp
+++ b/src/upstream/outgoing_message.cpp
@@ -32,10 +32,10 @@
 }
 
 void OutgoingMessage::SetProbe() {
-  static const Payload probe{std::string(kProbeQuery), kProbeQuery.size(), 0};
+  static const Payload kProbe{std::string(kProbeQuery), kProbeQuery.size(), 0};
   payload_.reset();
   timeout_.clear();
-  SetQuery(probe);
+  SetQuery(kProbe);
 }
 
 void OutgoingMessage::SetQuery(const Payload& payload) {
--- a/src/upstream/outgoing_message.hpp
+++ b/src/upstream/outgoing_message.hpp
@@ -17,6 +17,7 @@
 class OutgoingMessage {
  public:
   OutgoingMessage() = default;
+  ~OutgoingMessage() = default;
   OutgoingMessage(const OutgoingMessage&) = delete;
   OutgoingMessage& operator=(const OutgoingMessage&) = delete;
 
--- a/src/upstream/pending_operations.cpp
+++ b/src/upstream/pending_operations.cpp
@@ -6,7 +6,7 @@
 namespace tulipyoke::net {
 
 void PendingOperations::Push(ServerId server, PendingOperation operation) {
-  servers_[operation.ticket] = server;
+  servers_[operation.operation_id] = server;
   queues_[server].push_back(std::move(operation));
 }
 
@@ -19,7 +19,7 @@
   std::deque<PendingOperation>& queue = queues_.at(server);
   PendingOperation operation = std::move(queue.front());
   queue.pop_front();
-  servers_.erase(operation.ticket);
+  servers_.erase(operation.operation_id);
   EraseIfEmpty(server);
   return operation;
 }
@@ -28,7 +28,7 @@
   std::deque<PendingOperation>& queue = queues_.at(server);
   PendingOperation operation = std::move(queue.back());
   queue.pop_back();
-  servers_.erase(operation.ticket);
+  servers_.erase(operation.operation_id);
   EraseIfEmpty(server);
   return operation;
 }
@@ -38,17 +38,17 @@
   if (queue == queues_.end()) return {};
   std::deque<PendingOperation> operations = std::move(queue->second);
   queues_.erase(queue);
-  for (const PendingOperation& operation : operations) servers_.erase(operation.ticket);
+  for (const PendingOperation& operation : operations) servers_.erase(operation.operation_id);
   return operations;
 }
 
-void PendingOperations::Remove(Ticket ticket) {
-  const auto found = servers_.find(ticket);
+void PendingOperations::Remove(Ticket operation_id) {
+  const auto found = servers_.find(operation_id);
   if (found == servers_.end()) return;
   const ServerId server = found->second;
   servers_.erase(found);
   std::erase_if(queues_.at(server),
-                [&](const PendingOperation& operation) { return operation.ticket == ticket; });
+                [&](const PendingOperation& operation) { return operation.operation_id == operation_id; });
   EraseIfEmpty(server);
 }
 
--- a/src/upstream/pending_operations.hpp
+++ b/src/upstream/pending_operations.hpp
@@ -15,7 +15,7 @@
 // One attempt or probe, from its start until a connection takes it. Times are microseconds of the loop's
 // clock.
 struct PendingOperation {
-  Ticket ticket = 0;
+  Ticket operation_id = 0;
   std::shared_ptr<const Payload> payload = {};  // none: a probe
   Micros client_deadline = 0;                   // when the client gives up
   Micros latest_start = kNoLimit;               // not begun by then, it must not be sent any more
@@ -31,7 +31,7 @@
   PendingOperation TakeLast(ServerId server);
   std::deque<PendingOperation> TakeAll(ServerId server);
   // Does nothing where the operation does not wait.
-  void Remove(Ticket ticket);
+  void Remove(Ticket operation_id);
 
  private:
   void EraseIfEmpty(ServerId server);
--- a/src/upstream/upstream_connection.cpp
+++ b/src/upstream/upstream_connection.cpp
@@ -55,10 +55,10 @@
 void UpstreamConnection::Run(const PendingOperation& operation) {
   const bool is_probe = operation.payload == nullptr;
   state_ = State::kBusy;
-  ticket_ = operation.ticket;
+  operation_id_ = operation.operation_id;
   latest_start_ = operation.latest_start;
   response_ = pg::QueryResponseReader(is_probe ? pg::QueryKind::kProbe : pg::QueryKind::kStatement);
-  transfer_.reset();
+  stream_.reset();
   value_remaining_ = 0;
   if (is_probe) {
     outgoing_.SetProbe();
@@ -76,7 +76,7 @@
 
 void UpstreamConnection::Close() {
   state_ = State::kClosed;
-  transfer_.reset();
+  stream_.reset();
   timer_.Off();
   std::error_code ignored;
   socket_.close(ignored);
@@ -95,7 +95,7 @@
 }
 
 bool UpstreamConnection::IsStalled() {
-  return transfer_ && !reading_paused_ && clock_.Now() - last_read_ > kStallTimeout;
+  return stream_ && !reading_paused_ && clock_.Now() - last_read_ > kStallTimeout;
 }
 
 // Written at once, as far as the socket takes it, so that outgoing_ is true at every moment. A handler that
@@ -207,8 +207,8 @@
   const pg::Result<pg::ResponseProgress> progress = response_.Read(message);
   if (!progress) return Fail(ConnectionFault::kMalformed);
   if (*progress == pg::ResponseProgress::kIncomplete) return;
-  transfer_.reset();
-  reading_paused_ = false;  // what the client has not taken yet is the transfer's
+  stream_.reset();
+  reading_paused_ = false;  // the stream holds what the client has not taken yet
   Outcome outcome = *response_.outcome();
   state_ = State::kResting;
   listener_.OnResponse(shared_from_this(), std::move(outcome));
@@ -216,10 +216,10 @@
 
 void UpstreamConnection::OnLargeRow(std::size_t size) {
   if (response_.BeginRow()) return Fail(ConnectionFault::kMalformed);
-  transfer_ = listener_.OnLargeValue(shared_from_this(), response_.row_description(), size);
-  if (!transfer_) return Fail(ConnectionFault::kValueNotWanted);
+  stream_ = listener_.OnLargeValue(shared_from_this(), response_.row_description(), size);
+  if (!stream_) return Fail(ConnectionFault::kValueNotWanted);
   value_remaining_ = size;
-  transfer_->on_room = [weak = weak_from_this()] {
+  stream_->on_room = [weak = weak_from_this()] {
     if (const UpstreamConnectionPtr self = weak.lock()) self->ResumeReading();
   };
 }
@@ -228,9 +228,9 @@
 bool UpstreamConnection::ForwardValue() {
   const std::string_view bytes = reader_.TakeValue(value_remaining_);
   value_remaining_ -= bytes.size();
-  // The transfer's observers may close this connection, and with it drop its own reference.
-  const std::shared_ptr<Transfer> transfer = transfer_;
-  if (!bytes.empty()) reading_paused_ = !transfer->Give(bytes);
+  // The stream's observers may close this connection, and with it drop its own reference.
+  const std::shared_ptr<Transfer> stream = stream_;
+  if (!bytes.empty()) reading_paused_ = !stream->Give(bytes);
   return value_remaining_ == 0;
 }
 
--- a/src/upstream/upstream_connection.hpp
+++ b/src/upstream/upstream_connection.hpp
@@ -40,6 +40,8 @@
 // OnFault.
 class UpstreamConnectionListener {
  public:
+  virtual ~UpstreamConnectionListener() = default;
+
   // The session has started, or the pause behind a response is over.
   virtual void OnReady(const UpstreamConnectionPtr& connection) = 0;
   // The operation's last byte has been taken by the socket.
@@ -50,9 +52,6 @@
   // The response is complete. The connection is resting.
   virtual void OnResponse(const UpstreamConnectionPtr& connection, Outcome outcome) = 0;
   virtual void OnFault(const UpstreamConnectionPtr& connection, ConnectionFault fault) = 0;
-
- protected:
-  ~UpstreamConnectionListener() = default;
 };
 
 // Not thread-safe. Held by shared_ptr, also by its own handlers; after Close none of these calls the
@@ -79,7 +78,7 @@
   ServerId server() const { return server_; }
   const asio::ip::tcp::endpoint& endpoint() const { return endpoint_; }
   State state() const { return state_; }
-  Ticket ticket() const { return ticket_; }  // of the operation that runs, or ran last
+  Ticket operation_id() const { return operation_id_; }  // of the operation that runs, or ran last
   Micros idle_since() const { return idle_since_; }
   // Whether all that was written has been taken by the socket.
   bool all_sent() const { return outgoing_.sent(); }
@@ -119,14 +118,14 @@
   asio::ip::tcp::endpoint endpoint_;
   State state_ = State::kConnecting;
   Micros idle_since_ = 0;
-  Ticket ticket_ = 0;
+  Ticket operation_id_ = 0;
   Micros latest_start_ = kNoLimit;  // of the operation that is being written
   OutgoingMessage outgoing_;
   pg::MessageReader reader_;
   pg::QueryResponseReader response_;
   // A value that is streamed: how much of it is still to come, and whether reading waits for the client to
   // take what has come.
-  std::shared_ptr<Transfer> transfer_;
+  std::shared_ptr<Transfer> stream_;
   std::size_t value_remaining_ = 0;
   bool reading_paused_ = false;
   Micros last_read_ = 0;
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -41,7 +41,7 @@
 
 void UpstreamPool::StartOperation(ServerId server, PendingOperation operation) {
   Upstream& upstream = upstreams_[server];
-  if (!upstream.endpoint) return Finish(operation.ticket, Outcome{.status = Status::kConnectFailed});
+  if (!upstream.endpoint) return Finish(operation.operation_id, Outcome{.status = Status::kConnectFailed});
   if (const UpstreamConnectionPtr connection = TakeIdle(upstream)) return Run(connection, operation);
   pending_.Push(server, std::move(operation));
   OpenForPending(server);
@@ -50,7 +50,7 @@
 // The age is checked again, since maintenance may come round less often than connections expire.
 UpstreamConnectionPtr UpstreamPool::TakeIdle(Upstream& upstream) {
   while (!upstream.idle.empty()) {
-    const UpstreamConnectionPtr connection = upstream.idle.back();
+    UpstreamConnectionPtr connection = upstream.idle.back();
     if (connection->idle_since() < idle_policy_.OldestUsable(clock_.Now())) {
       ++counters_.idle_closed;
       Close(connection);
@@ -73,7 +73,7 @@
       continue;
     }
     ++counters_.exhausted;
-    Finish(pending_.TakeLast(server).ticket, Outcome{.status = Status::kConnectFailed});
+    Finish(pending_.TakeLast(server).operation_id, Outcome{.status = Status::kConnectFailed});
   }
 }
 
@@ -90,10 +90,10 @@
 void UpstreamPool::Run(const UpstreamConnectionPtr& connection, const PendingOperation& operation) {
   // Its connection took too long: sent now, it could take effect a second time.
   if (operation.latest_start < clock_.Now()) {
-    Finish(operation.ticket, Outcome{.status = Status::kMoot});
+    Finish(operation.operation_id, Outcome{.status = Status::kMoot});
     return OnReady(connection);
   }
-  busy_[operation.ticket] = connection;
+  busy_[operation.operation_id] = connection;
   connection->Run(operation);
 }
 
@@ -110,17 +110,17 @@
 }
 
 void UpstreamPool::OnWritten(const UpstreamConnectionPtr& connection) {
-  exchange_.Written(connection->ticket());
+  exchange_.Written(connection->operation_id());
 }
 
 std::shared_ptr<Transfer> UpstreamPool::OnLargeValue(const UpstreamConnectionPtr& connection,
                                                      const std::string& row_description, std::size_t size) {
-  return exchange_.Begin(clock_.Now(), connection->ticket(), row_description, size);
+  return exchange_.Begin(clock_.Now(), connection->operation_id(), row_description, size);
 }
 
 void UpstreamPool::OnResponse(const UpstreamConnectionPtr& connection, Outcome outcome) {
-  const Ticket ticket = connection->ticket();
-  busy_.erase(ticket);
+  const Ticket operation_id = connection->operation_id();
+  busy_.erase(operation_id);
   ++upstreams_[connection->server()].resting;
   // A response that came before all of the statement was sent: the next query would come behind the rest.
   if (connection->has_partial_messages()) {
@@ -128,7 +128,7 @@
   } else {
     connection->RestBeforeReady();
   }
-  Finish(ticket, std::move(outcome));
+  Finish(operation_id, std::move(outcome));
 }
 
 void UpstreamPool::OnFault(const UpstreamConnectionPtr& connection, ConnectionFault fault) {
@@ -156,7 +156,7 @@
   Close(connection);
   const Upstream& upstream = upstreams_[server];
   while (pending_.Count(server) > upstream.upcoming()) {
-    Finish(pending_.TakeFirst(server).ticket, Outcome{.status = status});
+    Finish(pending_.TakeFirst(server).operation_id, Outcome{.status = status});
   }
 }
 
@@ -164,21 +164,21 @@
   if (connection->state() == State::kConnecting) return OnConnectFailed(connection, Status::kConnectFailed);
   if (connection->state() != State::kBusy) return Replace(connection);
   ++counters_.broken;
-  const Ticket ticket = connection->ticket();
+  const Ticket operation_id = connection->operation_id();
   // Without its last byte the server did not begin the statement.
   const Status status = connection->all_sent() ? Status::kReset : Status::kConnectFailed;
   Outcome outcome = connection->outcome().value_or(Outcome{.status = status});
   Replace(connection);
-  Finish(ticket, std::move(outcome));
+  Finish(operation_id, std::move(outcome));
 }
 
 // The statement may have run, as with an error response; for the server it counts as any other failure.
 void UpstreamPool::OnMalformed(const UpstreamConnectionPtr& connection) {
   ++counters_.malformed;
   if (connection->state() != State::kBusy) return OnBroken(connection);
-  const Ticket ticket = connection->ticket();
+  const Ticket operation_id = connection->operation_id();
   Close(connection);
-  Finish(ticket, Outcome{.status = Status::kError});
+  Finish(operation_id, Outcome{.status = Status::kError});
 }
 
 void UpstreamPool::OnUnsolicitedData(const UpstreamConnectionPtr& connection) {
@@ -187,9 +187,9 @@
 }
 
 void UpstreamPool::OnStartTooLate(const UpstreamConnectionPtr& connection) {
-  const Ticket ticket = connection->ticket();
+  const Ticket operation_id = connection->operation_id();
   Replace(connection);
-  Finish(ticket, Outcome{.status = Status::kMoot});
+  Finish(operation_id, Outcome{.status = Status::kMoot});
 }
 
 void UpstreamPool::Close(const UpstreamConnectionPtr& connection) {
@@ -205,7 +205,7 @@
       Remove(upstream.idle, connection);
       break;
     case State::kBusy:
-      busy_.erase(connection->ticket());
+      busy_.erase(connection->operation_id());
       break;
     case State::kClosed:
       return;
@@ -219,9 +219,9 @@
   OpenForPending(connection->server());
 }
 
-void UpstreamPool::Cancel(Ticket ticket) {
-  const auto busy = busy_.find(ticket);
-  if (busy == busy_.end()) return pending_.Remove(ticket);
+void UpstreamPool::Cancel(Ticket operation_id) {
+  const auto busy = busy_.find(operation_id);
+  if (busy == busy_.end()) return pending_.Remove(operation_id);
   ++counters_.abandoned;
   const UpstreamConnectionPtr connection = busy->second;
   Close(connection);
@@ -241,7 +241,7 @@
   FailPending(server);
 }
 
-void UpstreamPool::Drain(ServerId server) {
+void UpstreamPool::RemoveServer(ServerId server) {
   upstreams_[server].endpoint.reset();
   CloseIdle(server);
   CloseConnecting(server);
@@ -277,13 +277,13 @@
   return true;
 }
 
-void UpstreamPool::Finish(Ticket ticket, Outcome outcome) {
-  exchange_.Finished(clock_.Now(), ticket, std::move(outcome));
+void UpstreamPool::Finish(Ticket operation_id, Outcome outcome) {
+  exchange_.Finished(clock_.Now(), operation_id, std::move(outcome));
 }
 
 void UpstreamPool::FailPending(ServerId server) {
   for (const PendingOperation& operation : pending_.TakeAll(server)) {
-    Finish(operation.ticket, Outcome{.status = Status::kConnectFailed});
+    Finish(operation.operation_id, Outcome{.status = Status::kConnectFailed});
   }
 }
 
@@ -313,7 +313,7 @@
 
 void UpstreamPool::CloseStalled() {
   std::vector<UpstreamConnectionPtr> stalled;
-  for (const auto& [ticket, connection] : busy_) {
+  for (const auto& [operation_id, connection] : busy_) {
     if (connection->IsStalled()) stalled.push_back(connection);
   }
   for (const UpstreamConnectionPtr& connection : stalled) OnBroken(connection);
@@ -335,7 +335,7 @@
     CloseConnecting(server);
   }
   std::vector<UpstreamConnectionPtr> busy;
-  for (const auto& [ticket, connection] : busy_) busy.push_back(connection);
+  for (const auto& [operation_id, connection] : busy_) busy.push_back(connection);
   for (const UpstreamConnectionPtr& connection : busy) Close(connection);
 }
 
--- a/src/upstream/upstream_pool.hpp
+++ b/src/upstream/upstream_pool.hpp
@@ -39,24 +39,24 @@
   std::uint64_t exhausted = 0;    // operations for which no connection could be opened within the limit
 };
 
-// Runs in the loop's thread. Each operation that is started is reported to the exchange once, by Finished,
+// Runs in the loop's thread. The outcome of each operation that is started is reported once to the exchange,
 // unless Cancel comes first.
 class UpstreamPool final : private UpstreamConnectionListener {
  public:
   UpstreamPool(asio::io_context& io, LoopClock& clock, Exchange& exchange,
                const UpstreamPoolOptions& options);
-  ~UpstreamPool();
+  ~UpstreamPool() override;
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
 
   void Start(const StartAttempt& attempt);
   void Start(const StartProbe& probe);
   // Closes the connection on which the operation runs, or drops it from those that wait.
-  void Cancel(Ticket ticket);
+  void Cancel(Ticket operation_id);
   // Operations that run at an earlier address are finished there; those that wait move to the new one.
   void SetAddress(ServerId server, const std::string& address);
   // Starts nothing more at the server until SetAddress; operations that run are finished.
-  void Drain(ServerId server);
+  void RemoveServer(ServerId server);
   void CloseIdle(ServerId server);
   void SetMaxConnections(std::size_t max_connections);
   // Closes all connections and reports nothing more.
@@ -104,7 +104,7 @@
   // Closes the connection that has been idle longest; false where none is idle.
   bool EvictIdle();
 
-  void Finish(Ticket ticket, Outcome outcome);
+  void Finish(Ticket operation_id, Outcome outcome);
   void FailPending(ServerId server);
 
   void ScheduleMaintenance();
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -107,7 +107,7 @@
         if (const auto* attempt = std::get_if<StartAttempt>(&command)) pool.Start(*attempt);
         if (const auto* end = std::get_if<EndTicket>(&command)) pool.Cancel(end->ticket);
         if (const auto* to = std::get_if<SetAddress>(&command)) pool.SetAddress(to->server, to->address);
-        if (const auto* forget = std::get_if<ForgetServer>(&command)) pool.Drain(forget->server);
+        if (const auto* forget = std::get_if<ForgetServer>(&command)) pool.RemoveServer(forget->server);
         if (const auto* answer = std::get_if<AnswerRequest>(&command))
           answers.emplace(answer->id, answer->answer);
       }
--- a/tests/upstream/cancellation_test.cpp
+++ b/tests/upstream/cancellation_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <variant>
 
+#include "tests/rig.hpp"
 #include "tests/upstream/upstream_pool_fixture.hpp"
 
 namespace tulipyoke::net {
--- a/tests/upstream/faulty_server_test.cpp
+++ b/tests/upstream/faulty_server_test.cpp
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "src/pg/message_writer.hpp"
+#include "tests/rig.hpp"
 #include "tests/upstream/upstream_pool_fixture.hpp"
 
 namespace tulipyoke::net {
--- a/tests/upstream/idle_connections_test.cpp
+++ b/tests/upstream/idle_connections_test.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "src/upstream/idle_policy.hpp"
+#include "tests/rig.hpp"
 #include "tests/upstream/upstream_pool_fixture.hpp"
 
 namespace tulipyoke::net {
--- a/tests/upstream/pending_operations_test.cpp
+++ b/tests/upstream/pending_operations_test.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <variant>
 
+#include "tests/rig.hpp"
 #include "tests/upstream/upstream_pool_fixture.hpp"
 
 namespace tulipyoke::net {
@@ -16,11 +17,11 @@
 
 TEST(PendingOperations, AreTakenInTheirOrderOrFromTheEnd) {
   PendingOperations pending;
-  for (const Ticket ticket : {1u, 2u, 3u}) pending.Push(7, {.ticket = ticket});
-  pending.Push(8, {.ticket = 4});
+  for (const Ticket id : {1u, 2u, 3u}) pending.Push(7, {.operation_id = id});
+  pending.Push(8, {.operation_id = 4});
   EXPECT_EQ(pending.Count(7), 3u);
-  EXPECT_EQ(pending.TakeFirst(7).ticket, 1u);
-  EXPECT_EQ(pending.TakeLast(7).ticket, 3u);
+  EXPECT_EQ(pending.TakeFirst(7).operation_id, 1u);
+  EXPECT_EQ(pending.TakeLast(7).operation_id, 3u);
   EXPECT_EQ(pending.Count(7), 1u);
   EXPECT_EQ(pending.Count(8), 1u);
   EXPECT_EQ(pending.Count(9), 0u);
@@ -28,14 +29,14 @@
 
 TEST(PendingOperations, ARemovedOneIsNotTaken) {
   PendingOperations pending;
-  for (const Ticket ticket : {1u, 2u, 3u}) pending.Push(7, {.ticket = ticket});
+  for (const Ticket id : {1u, 2u, 3u}) pending.Push(7, {.operation_id = id});
   pending.Remove(2);
   pending.Remove(2);
   pending.Remove(5);
   const std::deque<PendingOperation> rest = pending.TakeAll(7);
   ASSERT_EQ(rest.size(), 2u);
-  EXPECT_EQ(rest[0].ticket, 1u);
-  EXPECT_EQ(rest[1].ticket, 3u);
+  EXPECT_EQ(rest[0].operation_id, 1u);
+  EXPECT_EQ(rest[1].operation_id, 3u);
   EXPECT_EQ(pending.Count(7), 0u);
   EXPECT_TRUE(pending.TakeAll(7).empty());
   pending.Remove(1);
--- a/tests/upstream/upstream_connection_test.cpp
+++ b/tests/upstream/upstream_connection_test.cpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "src/pg/message_writer.hpp"
+#include "tests/rig.hpp"
 #include "tests/upstream/upstream_pool_fixture.hpp"
 
 namespace tulipyoke::net {
