--- /dev/null
+++ b/tests/hot_restart/golden_bytes_test.cpp
@@ -0,0 +1,240 @@
+// The exact bytes that two processes of one router send each other during a hot restart. An older and a newer
+// version of the program must understand each other in both directions, so these bytes must never change: the
+// expected strings were recorded from a released version and are compared byte by byte.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <array>
+#include <asio.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <filesystem>
+#include <limits>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "src/net/handover.hpp"
+#include "tests/running.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+using Local = asio::local::stream_protocol;
+
+constexpr std::uint64_t kLargestKey = std::numeric_limits<std::uint64_t>::max();
+
+TEST(HotRestartGoldenBytes, EachKindOfMessageIsWrittenAsRecorded) {
+  EXPECT_EQ(ToLine(HandoverStep::kHello), "hello\n");
+  EXPECT_EQ(ToLine(HandoverStep::kSynced), "synced\n");
+  EXPECT_EQ(ToLine(HandoverStep::kServing), "serving\n");
+  EXPECT_EQ(ToLine(HandoverStep::kDone), "done\n");
+  EXPECT_EQ(ToLine(HandoverHolds{0}), "holds 0\n");
+  EXPECT_EQ(ToLine(HandoverHolds{4096}), "holds 4096\n");
+  EXPECT_EQ(ToLine(SessionNews{0, 0, 0}), "session 0 0 0\n");
+  EXPECT_EQ(ToLine(SessionNews{kLargestKey, 3, 1767225600123}),
+            "session 18446744073709551615 3 1767225600123\n");
+  EXPECT_EQ(ToLine(SessionNews{7, -1, -5}), "session 7 -1 -5\n");
+  EXPECT_EQ(ToLine(ServerNews{"s1", Role::kUnknown, 0, 0}), "server 0 0 0 s1\n");
+  EXPECT_EQ(ToLine(ServerNews{"s-5 b", Role::kPrimary, 17, 1767225600123}),
+            "server 1 17 1767225600123 s-5 b\n");
+  EXPECT_EQ(ToLine(ServerNews{"r.example.", Role::kReplica, -2, -3}), "server 2 -2 -3 r.example.\n");
+}
+
+TEST(HotRestartGoldenBytes, RecordedStepsAreParsed) {
+  const std::array<std::pair<std::string_view, HandoverStep>, 4> recorded = {{
+      {"hello", HandoverStep::kHello},
+      {"synced", HandoverStep::kSynced},
+      {"serving", HandoverStep::kServing},
+      {"done", HandoverStep::kDone},
+  }};
+  for (const auto& [line, step] : recorded) {
+    const auto message = ParseHandoverLine(line);
+    ASSERT_TRUE(message) << line;
+    ASSERT_TRUE(std::holds_alternative<HandoverStep>(*message)) << line;
+    EXPECT_EQ(std::get<HandoverStep>(*message), step) << line;
+  }
+}
+
+TEST(HotRestartGoldenBytes, RecordedDescriptorCountsAreParsed) {
+  for (const int descriptors : {0, 77, 4096}) {
+    const auto message = ParseHandoverLine("holds " + std::to_string(descriptors));
+    ASSERT_TRUE(message && std::holds_alternative<HandoverHolds>(*message));
+    EXPECT_EQ(std::get<HandoverHolds>(*message).descriptors, descriptors);
+  }
+}
+
+TEST(HotRestartGoldenBytes, RecordedSessionsAreParsed) {
+  const auto largest = ParseHandoverLine("session 18446744073709551615 3 1767225600123");
+  ASSERT_TRUE(largest && std::holds_alternative<SessionNews>(*largest));
+  EXPECT_EQ(std::get<SessionNews>(*largest).key, kLargestKey);
+  EXPECT_EQ(std::get<SessionNews>(*largest).group, 3);
+  EXPECT_EQ(std::get<SessionNews>(*largest).commit_unix_ms, 1767225600123);
+  const auto negative = ParseHandoverLine("session 0 -1 -5");
+  ASSERT_TRUE(negative && std::holds_alternative<SessionNews>(*negative));
+  EXPECT_EQ(std::get<SessionNews>(*negative).key, 0u);
+  EXPECT_EQ(std::get<SessionNews>(*negative).group, -1);
+  EXPECT_EQ(std::get<SessionNews>(*negative).commit_unix_ms, -5);
+}
+
+TEST(HotRestartGoldenBytes, RecordedServersAreParsed) {
+  const auto primary = ParseHandoverLine("server 1 17 1767225600123 s-5 b");
+  ASSERT_TRUE(primary && std::holds_alternative<ServerNews>(*primary));
+  EXPECT_EQ(std::get<ServerNews>(*primary).id, "s-5 b");
+  EXPECT_EQ(std::get<ServerNews>(*primary).role, Role::kPrimary);
+  EXPECT_EQ(std::get<ServerNews>(*primary).heard, 17);
+  EXPECT_EQ(std::get<ServerNews>(*primary).position_unix_ms, 1767225600123);
+  const auto replica = ParseHandoverLine("server 2 -2 -3 r.example.");
+  ASSERT_TRUE(replica && std::holds_alternative<ServerNews>(*replica));
+  EXPECT_EQ(std::get<ServerNews>(*replica).id, "r.example.");
+  EXPECT_EQ(std::get<ServerNews>(*replica).role, Role::kReplica);
+  EXPECT_EQ(std::get<ServerNews>(*replica).heard, -2);
+  EXPECT_EQ(std::get<ServerNews>(*replica).position_unix_ms, -3);
+  const auto unknown = ParseHandoverLine("server 0 0 0  two spaces");
+  ASSERT_TRUE(unknown && std::holds_alternative<ServerNews>(*unknown));
+  EXPECT_EQ(std::get<ServerNews>(*unknown).role, Role::kUnknown);
+  EXPECT_EQ(std::get<ServerNews>(*unknown).id, " two spaces");
+}
+
+// What the parser accepts is part of the protocol as well: a line that one version writes, and another one
+// does not take, ends the connection between the two processes.
+TEST(HotRestartGoldenBytes, TheSameLinesAreRejectedAsRecorded) {
+  for (const char* line : {"",
+                           " ",
+                           "hello ",
+                           " hello",
+                           "Hello",
+                           "hello\r",
+                           "synced 1",
+                           "holds",
+                           "holds ",
+                           "holds -1",
+                           "holds 1 2",
+                           "holds +1",
+                           "holds 2147483648",
+                           "holds 0x1",
+                           "session",
+                           "session 1 2",
+                           "session 1 2 ",
+                           "session 1 2 3 4",
+                           "session x 2 3",
+                           "session -1 2 3",
+                           "session 1  2 3",
+                           "session 18446744073709551616 0 0",
+                           "session 1 2147483648 0",
+                           "session 1 0 9223372036854775808",
+                           "server",
+                           "server 1 1 1",
+                           "server 1 1 1 ",
+                           "server 9 1 1 s",
+                           "server 3 1 1 s",
+                           "server -1 1 1 s",
+                           "server 1 x 1 s",
+                           "server 1 1 x s",
+                           "server  1 1 1 s",
+                           "bye",
+                           "GET / HTTP/1.1"}) {
+    EXPECT_FALSE(ParseHandoverLine(line)) << "'" << line << "'";
+  }
+}
+
+// A trailing separator behind the last number is accepted, and always has been.
+TEST(HotRestartGoldenBytes, ATrailingSpaceIsAcceptedAsRecorded) {
+  const auto session = ParseHandoverLine("session 1 2 3 ");
+  ASSERT_TRUE(session && std::holds_alternative<SessionNews>(*session));
+  EXPECT_EQ(std::get<SessionNews>(*session).commit_unix_ms, 3);
+  const auto usage = ParseHandoverLine("holds 1 ");
+  ASSERT_TRUE(usage && std::holds_alternative<HandoverHolds>(*usage));
+  EXPECT_EQ(std::get<HandoverHolds>(*usage).descriptors, 1);
+}
+
+// A running router beside a peer process that is a bare socket of the test's.
+class HotRestartGoldenTranscript : public testing::Test {
+ protected:
+  HotRestartGoldenTranscript() : listening_(io_, Loopback(0)) {
+    std::filesystem::create_directories(folder_);
+  }
+  ~HotRestartGoldenTranscript() override { std::filesystem::remove_all(folder_); }
+
+  std::unique_ptr<Running> Start(const std::vector<std::uint16_t>& servers) {
+    return std::make_unique<Running>(servers, 256, 1, [&](Config& config) {
+      config.accept_fd = ::dup(listening_.native_handle());
+      config.temporary = folder_;
+      config.settings.classes[0].deadline = 300'000;  // so that a shutdown is soon over
+    });
+  }
+  // The file name that the two versions find each other by.
+  std::string SocketPath() const { return folder_ + "/tulipyoke-n.sock"; }
+  static void Write(Local::socket& peer, const std::string& bytes) { asio::write(peer, asio::buffer(bytes)); }
+  // Exactly as many bytes as are expected.
+  static std::string Read(Local::socket& peer, std::size_t size) {
+    std::string bytes(size, '\0');
+    std::error_code ignored;
+    bytes.resize(asio::read(peer, asio::buffer(bytes), ignored));
+    return bytes;
+  }
+  static std::string ReadToEnd(Local::socket& peer) {
+    std::string bytes;
+    std::error_code end;
+    asio::read(peer, asio::dynamic_buffer(bytes), end);
+    return bytes;
+  }
+  static void AwaitReady(Running& router, std::string_view status) {
+    const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    std::string answer = router.Call("GET", "/control/ready");
+    while (answer.find(status) == std::string::npos && std::chrono::steady_clock::now() < give_up) {
+      std::this_thread::yield();
+      answer = router.Call("GET", "/control/ready");
+    }
+    EXPECT_NE(answer.find(status), std::string::npos) << answer;
+  }
+
+  asio::io_context io_;
+
+ private:
+  const std::string folder_ = testing::TempDir() + "tulipyoke_golden_" + std::to_string(::getpid());
+  tcp::acceptor listening_;
+};
+
+// All that an older process of this version sends to a newer one, from its greeting to the end.
+TEST_F(HotRestartGoldenTranscript, OfAnOlderProcess) {
+  const std::unique_ptr<Running> older = Start({1});
+  Local::socket newer(io_);
+  newer.connect(Local::endpoint(SocketPath()));
+  Write(newer, "hello\n");
+  const std::string state = "server 0 -1 0 s1\nsynced\n";
+  EXPECT_EQ(Read(newer, state.size()), state);
+  Write(newer, "session 5 0 1767225600123\nserver 1 17 0 s1\nserving\n");
+  AwaitReady(*older, " 503 ");
+  // 48 descriptors are its own, and it has no client and no server left.
+  const std::string shrunk = "holds 48\n";
+  EXPECT_EQ(Read(newer, shrunk.size()), shrunk);
+  kill(getpid(), SIGTERM);
+  EXPECT_EQ(ReadToEnd(newer), "done\n");
+}
+
+// All that a newer process of this version sends to an older one, from its greeting to the end.
+TEST_F(HotRestartGoldenTranscript, OfANewerProcess) {
+  Local::acceptor acceptor(io_, Local::endpoint(SocketPath()));
+  const std::unique_ptr<Running> newer = Start({});
+  Local::socket older = acceptor.accept();
+  const std::string greeting = "hello\n";
+  EXPECT_EQ(Read(older, greeting.size()), greeting);
+  AwaitReady(*newer, " 503 ");
+  Write(older, "session 0 0 5\nsession 18446744073709551615 0 1767225600123\nserver 2 17 0 s-5 b\nsynced\n");
+  AwaitReady(*newer, " 200 ");
+  const std::string serving = "serving\n";
+  EXPECT_EQ(Read(older, serving.size()), serving);
+  Write(older, "holds 100\nholds 48\n");
+  AwaitReady(*newer, " 200 ");
+  kill(getpid(), SIGTERM);
+  EXPECT_EQ(ReadToEnd(older), "done\n");
+}
+
+}  // namespace
+}  // namespace tulipyoke::net
