--- a/bench/learn_latency.cpp
+++ b/bench/learn_latency.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "src/config/config.hpp"
-#include "src/net/node.hpp"
+#include "src/server/server.hpp"
 #include "standins/dns_responder.hpp"
 #include "standins/pg_client.hpp"
 #include "standins/pg_server.hpp"
@@ -91,7 +91,7 @@
                                {"least_refresh_ms", 250},
                                {"resolvers", {responder.address()}}}}}};
   }
-  net::Node node(ParseConfig(config.dump()));
+  net::Server node(ParseConfig(config.dump()));
   std::thread thread([&] { node.Run(); });
   Waits waits;
   {
--- /dev/null
+++ b/src/admin/admin_server.hpp
@@ -0,0 +1,65 @@
+// The admin server: HTTP/1.1 for operators and health checks, one request per connection, on a port of its
+// own beside the clients' traffic.
+#ifndef TULIPYOKE_SRC_ADMIN_ADMIN_SERVER_HPP_
+#define TULIPYOKE_SRC_ADMIN_ADMIN_SERVER_HPP_
+
+#include <asio.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "src/admin/admin_response.hpp"
+
+namespace tulipyoke::net {
+
+struct AdminCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t malformed = 0;
+  std::uint64_t timed_out = 0;  // connections that sent no complete request, or were replaced before it
+};
+
+// Runs on the event loop, whose thread calls everything here.
+class AdminServer {
+ public:
+  // Answers a complete request; the path is without its query.
+  using Handler = std::function<AdminResponse(const std::string& method, const std::string& path)>;
+
+  // Accepts at once. Throws std::runtime_error where the address cannot be listened on.
+  AdminServer(asio::io_context& io, const asio::ip::tcp::endpoint& listen, Handler handler);
+  ~AdminServer();
+  AdminServer(const AdminServer&) = delete;
+  AdminServer& operator=(const AdminServer&) = delete;
+
+  // Closes the listening socket and all connections.
+  void Stop();
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  const AdminCounters& counters() const { return counters_; }
+
+ private:
+  struct Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void Listen(const asio::ip::tcp::endpoint& endpoint);
+  void Accept();
+  void AcceptAfterPause();
+  void Add(asio::ip::tcp::socket socket);
+  void ArmRequestTimeout(const ConnectionPtr& connection);
+  void Read(const ConnectionPtr& connection);
+  void OnBytes(const ConnectionPtr& connection, std::size_t size);
+  void Respond(const ConnectionPtr& connection, const AdminResponse& response);
+  void Close(const ConnectionPtr& connection);
+
+  asio::io_context& io_;
+  Handler handler_;
+  AdminCounters counters_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer accept_pause_;
+  std::list<ConnectionPtr> connections_;  // the oldest first
+};
+
+}  // namespace tulipyoke::net
+
+#endif  // TULIPYOKE_SRC_ADMIN_ADMIN_SERVER_HPP_
--- /dev/null
+++ b/src/cli/check_config_command.cpp
@@ -0,0 +1,28 @@
+#include "src/cli/check_config_command.hpp"
+
+#include <cstddef>
+#include <exception>
+#include <ostream>
+
+#include "src/cli/exit_status.hpp"
+#include "src/config/checked.hpp"
+#include "src/config/config.hpp"
+
+namespace tulipyoke::cli {
+
+int CheckConfig(const std::string& file, std::ostream& out) {
+  try {
+    const Config config = ParseConfig(ReadFile(file));
+    CheckComplete(config);
+    // Without DNS-SD sources, the registry is the only one.
+    const std::size_t sources = config.directory.on() ? config.directory.sources.size() : 1;
+    out << file << ": " << config.settings.classes.size() << " classes, " << config.known.servers.size()
+        << " known servers, " << sources << " sources of servers\n";
+    return kExitSuccess;
+  } catch (const std::exception& error) {
+    out << file << ": " << error.what() << "\n";
+    return kExitFailure;
+  }
+}
+
+}  // namespace tulipyoke::cli
--- /dev/null
+++ b/src/cli/check_config_command.hpp
@@ -0,0 +1,15 @@
+// `tulipyoke config check`: whether the program could start with a configuration.
+#ifndef TULIPYOKE_SRC_CLI_CHECK_CONFIG_COMMAND_HPP_
+#define TULIPYOKE_SRC_CLI_CHECK_CONFIG_COMMAND_HPP_
+
+#include <iosfwd>
+#include <string>
+
+namespace tulipyoke::cli {
+
+// Writes a summary of `file` to `out`, or what is wrong with it and where. Returns the exit status.
+int CheckConfig(const std::string& file, std::ostream& out);
+
+}  // namespace tulipyoke::cli
+
+#endif  // TULIPYOKE_SRC_CLI_CHECK_CONFIG_COMMAND_HPP_
--- a/src/net/address.hpp
+++ b/src/event_loop/endpoint.hpp
@@ -1,6 +1,6 @@
-// Addresses as they stand in the configuration and in lists of servers.
-#ifndef TULIPYOKE_SRC_NET_ADDRESS_HPP_
-#define TULIPYOKE_SRC_NET_ADDRESS_HPP_
+// Addresses as they stand in the configuration and in lists of servers, as endpoints of sockets.
+#ifndef TULIPYOKE_SRC_EVENT_LOOP_ENDPOINT_HPP_
+#define TULIPYOKE_SRC_EVENT_LOOP_ENDPOINT_HPP_
 
 #include <asio.hpp>
 #include <stdexcept>
@@ -10,7 +10,8 @@
 
 namespace tulipyoke::net {
 
-// Throws std::runtime_error; names are not looked up, since there may be nobody to ask.
+// `address` is `IP:port`. Throws std::runtime_error where it is not. Host names are not resolved: there may
+// be no resolver to ask, and the loop must not wait for one.
 inline asio::ip::tcp::endpoint ToEndpoint(const std::string& address) {
   const HostPort parts = SplitAddress(address);
   std::error_code error;
@@ -21,4 +22,4 @@
 
 }  // namespace tulipyoke::net
 
-#endif  // TULIPYOKE_SRC_NET_ADDRESS_HPP_
+#endif  // TULIPYOKE_SRC_EVENT_LOOP_ENDPOINT_HPP_
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -10,54 +10,75 @@
 namespace tulipyoke {
 namespace {
 
-constexpr const char* kName = "tulipyoke";
-constexpr const char* kJsonName = "tulipyoke-json";
+// Names of the logger. The program's name also begins each line of text.
+constexpr const char* kTextLoggerName = "tulipyoke";
+constexpr const char* kJsonLoggerName = "tulipyoke-json";
 
 const char* LevelText(LogLevel level) {
-  return level == LogLevel::kInfo ? "info" : level == LogLevel::kWarning ? "warning" : "error";
+  switch (level) {
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      break;
+  }
+  return "error";
+}
+
+spdlog::level::level_enum SpdlogLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kInfo:
+      return spdlog::level::info;
+    case LogLevel::kWarning:
+      return spdlog::level::warn;
+    case LogLevel::kError:
+      break;
+  }
+  return spdlog::level::err;
 }
 
-// The form is the name of the logger in spdlog's own registry: there is no state here.
+// The format is the name of the logger in spdlog's own registry: there is no state here.
 std::shared_ptr<spdlog::logger> Logger() {
-  const auto chosen = spdlog::default_logger();
-  if (chosen->name() == kName || chosen->name() == kJsonName) return chosen;
-  SetLogForm(LogForm::kText);
+  const auto logger = spdlog::default_logger();
+  if (logger->name() == kTextLoggerName || logger->name() == kJsonLoggerName) return logger;
+  SetLogFormat(LogFormat::kText);
   return spdlog::default_logger();
 }
 
+std::int64_t UnixMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 }  // namespace
 
-void SetLogForm(LogForm form) {
-  const char* name = form == LogForm::kJson ? kJsonName : kName;
+void SetLogFormat(LogFormat format) {
+  const char* name = format == LogFormat::kJson ? kJsonLoggerName : kTextLoggerName;
   auto logger = std::make_shared<spdlog::logger>(name, std::make_shared<spdlog::sinks::stderr_sink_mt>());
-  // The line is made below: what is written is that and nothing else.
-  logger->set_pattern("%v");
+  logger->set_pattern("%v");  // FormatLogLine makes the complete line
   logger->flush_on(spdlog::level::trace);
   spdlog::set_default_logger(logger);
 }
 
-std::string LogLineFor(LogForm form, LogLevel level, std::string_view event, std::string_view text,
-                       const std::vector<LogField>& fields, std::int64_t time_ms) {
-  if (form == LogForm::kText) return std::string(kName) + ": " + std::string(text);
+std::string FormatLogLine(LogFormat format, LogLevel level, std::string_view event, std::string_view text,
+                          const std::vector<LogField>& fields, std::int64_t time_ms) {
+  if (format == LogFormat::kText) return std::string(kTextLoggerName) + ": " + std::string(text);
   nlohmann::ordered_json line{
       {"time_ms", time_ms}, {"level", LevelText(level)}, {"event", event}, {"text", text}};
   for (const LogField& field : fields) {
     std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
   }
-  // What servers and clients sent may be no UTF-8.
+  // What servers and clients sent may not be UTF-8: invalid bytes are replaced.
   return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
 void LogEvent(LogLevel level, std::string_view event, std::string_view text,
               const std::vector<LogField>& fields) {
   const auto logger = Logger();
-  const LogForm form = logger->name() == kJsonName ? LogForm::kJson : LogForm::kText;
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-  const auto spd = level == LogLevel::kInfo      ? spdlog::level::info
-                   : level == LogLevel::kWarning ? spdlog::level::warn
-                                                 : spdlog::level::err;
-  logger->log(spd, spdlog::string_view_t(LogLineFor(form, level, event, text, fields, ms)));
+  const LogFormat format = logger->name() == kJsonLoggerName ? LogFormat::kJson : LogFormat::kText;
+  const std::string line = FormatLogLine(format, level, event, text, fields, UnixMilliseconds());
+  logger->log(SpdlogLevel(level), spdlog::string_view_t(line));
 }
 
 }  // namespace tulipyoke
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -1,5 +1,5 @@
-// One line on standard error for each event, with its name and named fields; docs/on-call.md explains each.
-// As text, `tulipyoke: ` and the sentence; as JSON lines, the sentence beside all fields.
+// The log: one line on standard error for each event, with the event's name and named fields; docs/on-call.md
+// explains each event. As text, `tulipyoke: ` and a sentence; as JSON lines, the sentence beside all fields.
 #ifndef TULIPYOKE_SRC_LOG_LOG_HPP_
 #define TULIPYOKE_SRC_LOG_LOG_HPP_
 
@@ -11,7 +11,7 @@
 
 namespace tulipyoke {
 
-enum class LogForm { kText, kJson };
+enum class LogFormat { kText, kJson };
 enum class LogLevel { kInfo, kWarning, kError };
 
 struct LogField {
@@ -19,8 +19,10 @@
   std::variant<std::string, std::int64_t, double> value;
 };
 
-// From here on; before it, text. Called once, as the program starts.
-void SetLogForm(LogForm form);
+// The format of all lines from here on; before the first call it is text. To be called once, at the start.
+void SetLogFormat(LogFormat format);
+
+// Safe to call from any thread.
 void LogEvent(LogLevel level, std::string_view event, std::string_view text,
               const std::vector<LogField>& fields = {});
 inline void LogInfo(std::string_view event, std::string_view text, const std::vector<LogField>& fields = {}) {
@@ -30,9 +32,10 @@
                        const std::vector<LogField>& fields = {}) {
   LogEvent(LogLevel::kWarning, event, text, fields);
 }
-// The line without its end, in that form; `time_ms` is Unix time.
-std::string LogLineFor(LogForm form, LogLevel level, std::string_view event, std::string_view text,
-                       const std::vector<LogField>& fields, std::int64_t time_ms);
+
+// The line for an event, without its end. `time_ms` is milliseconds of Unix time.
+std::string FormatLogLine(LogFormat format, LogLevel level, std::string_view event, std::string_view text,
+                          const std::vector<LogField>& fields, std::int64_t time_ms);
 
 }  // namespace tulipyoke
 
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -4,8 +4,8 @@
 #include <limits>
 #include <sstream>
 
+#include "src/event_loop/endpoint.hpp"
 #include "src/log/log.hpp"
-#include "src/net/address.hpp"
 
 namespace tulipyoke::net {
 namespace {
--- a/src/net/directory.hpp
+++ b/src/net/directory.hpp
@@ -16,8 +16,8 @@
 #include "src/config/directory_config.hpp"
 #include "src/dnssd/browser.hpp"
 #include "src/dnssd/retries.hpp"
+#include "src/event_loop/loop_clock.hpp"
 #include "src/membership/membership.hpp"
-#include "src/net/clock.hpp"
 #include "src/net/dns_socket.hpp"
 
 namespace tulipyoke::net {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "src/config/listing_json.hpp"
+#include "src/event_loop/endpoint.hpp"
 #include "src/log/log.hpp"
-#include "src/net/address.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -111,8 +111,8 @@
   ++counters_.connects;
   const auto session = std::make_shared<Session>(io_);
   session_ = session;
-  silence_.In(std::chrono::microseconds(pace_.AnsweredWithin()),
-              [this, session] { Lost(session, "no answer in time"); });
+  silence_.ExpireAfter(std::chrono::microseconds(pace_.AnsweredWithin()),
+                       [this, session] { Lost(session, "no answer in time"); });
   session->socket.async_connect(endpoint_, [this, session](std::error_code error) {
     if (session != session_) return;
     if (error) return Lost(session, error.message());
@@ -174,11 +174,11 @@
   if (session == former_) return Drop(former_);
   if (session != session_) return;
   Drop(session_);
-  silence_.Off();
+  silence_.Cancel();
   ++counters_.lost;
   // Said once an outage: the tries that follow it are counted.
   if (pace_.failures() == 0) LogWarning("discovery_lost", "discovery watch lost: " + why, {{"why", why}});
-  retry_.In(std::chrono::microseconds(pace_.AfterFailure()), [this] { Connect(); });
+  retry_.ExpireAfter(std::chrono::microseconds(pace_.AfterFailure()), [this] { Connect(); });
 }
 
 void DiscoveryWatch::Drop(SessionPtr& session) {
@@ -189,8 +189,8 @@
 
 void DiscoveryWatch::ArmSilence(const SessionPtr& session) {
   if (session != session_) return;  // the former watch ends with the new one's first word or its own end
-  silence_.In(std::chrono::microseconds(limits::ListPace::kSilentAfter),
-              [this, session] { Lost(session, "no word in time"); });
+  silence_.ExpireAfter(std::chrono::microseconds(limits::ListPace::kSilentAfter),
+                       [this, session] { Lost(session, "no word in time"); });
 }
 
 void DiscoveryWatch::Refresh() {
@@ -204,7 +204,7 @@
   host_ = address;
   version_ = 0;
   pace_.Heard();
-  retry_.Off();
+  retry_.Cancel();
   // Told twice in a row, before the first new address has said anything: the oldest one still has the list.
   if (!former_)
     former_ = session_;
@@ -215,8 +215,8 @@
 
 void DiscoveryWatch::Stop() {
   stopped_ = true;
-  silence_.Off();
-  retry_.Off();
+  silence_.Cancel();
+  retry_.Cancel();
   Drop(session_);
   Drop(former_);
 }
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -13,9 +13,9 @@
 #include <string_view>
 #include <vector>
 
+#include "src/event_loop/cancellable_timer.hpp"
 #include "src/exchange/listing.hpp"
 #include "src/limits/list_pace.hpp"
-#include "src/net/alarm.hpp"
 
 namespace tulipyoke::net {
 
@@ -87,7 +87,7 @@
   std::string host_;
   std::uint64_t version_;
   DiscoveryCounters counters_;
-  Alarm silence_, retry_;
+  CancellableTimer silence_, retry_;
   SessionPtr session_;
   SessionPtr former_;  // the watch on the address before, until the new one has told something
   limits::ListPace pace_;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -107,12 +107,12 @@
   std::size_t unsent() const { return out.size() + on_the_way.size(); }
 };
 
-ClientFront::ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const Service& service,
-                         const FrontOptions& options)
+ClientFront::ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange,
+                         const ServingState& serving_state, const FrontOptions& options)
     : io_(io),
       clock_(clock),
       exchange_(exchange),
-      service_(service),
+      serving_state_(serving_state),
       options_(options),
       acceptor_(io),
       accept_pause_(io),
@@ -158,7 +158,7 @@
 void ClientFront::PauseAccepting() {
   accepting_ = false;
   std::error_code ignored;
-  accept_pause_.Off();
+  accept_pause_.Cancel();
   acceptor_.cancel(ignored);
 }
 
@@ -184,7 +184,7 @@
     if (!gone_already && !ShedIdle()) {
       LogWarning("accept_failed", "cannot accept a client: " + error.message(), {{"why", error.message()}});
     }
-    accept_pause_.In(kAcceptPause, [this] { Accept(); });
+    accept_pause_.ExpireAfter(kAcceptPause, [this] { Accept(); });
   });
 }
 
@@ -271,7 +271,7 @@
     EndWith(client, "53300", "too much is waiting to be read");
   }
   // Nothing but its answer stands before its close, so that no next request crosses it.
-  if (service_.leaving() && client->asked && Idle(*client)) return Finish(client);
+  if (serving_state_.draining() && client->asked && Idle(*client)) return Finish(client);
   Write(client);
   if (client->closed) return;
   // What it was not asked for while answers were unsent.
@@ -379,7 +379,7 @@
   };
   switch (pg::HousekeepingOf(text)) {
     case pg::Housekeeping::kEmpty:
-      if (!service_.welcomes()) return EndWith(client, "57P03", "out of service");
+      if (!serving_state_.router_accepts_clients()) return EndWith(client, "57P03", "out of service");
       pg::AppendMessage(client->out, 'I', {});
       return pg::AppendReady(client->out);
     case pg::Housekeeping::kSet:
@@ -407,7 +407,7 @@
     exchange_.CountTurnedAway(class_index, Refused{});
     return EndWith(client, "53300", kTooMany, ReturnIn(kNoLimit));
   }
-  if (service_.Refuses(clock_.Now())) {
+  if (serving_state_.Rejects(clock_.Now())) {
     exchange_.CountTurnedAway(class_index, Refused{});
     return EndWith(client, "57P03", "out of service: trying again is harmless", ReturnIn(kElsewhereRetry));
   }
@@ -683,7 +683,7 @@
     Admit(std::move(socket));
   }
   std::error_code ignored;
-  accept_pause_.Off();
+  accept_pause_.Cancel();
   acceptor_.close(ignored);
 }
 
@@ -697,7 +697,7 @@
 }
 
 void ClientFront::ArmSweep() {
-  sweep_.In(kSweepEvery, [this] {
+  sweep_.ExpireAfter(kSweepEvery, [this] {
     Sweep();
     ArmSweep();
   });
@@ -722,7 +722,7 @@
     if (client->ending || client->request != 0 || client->queued || client->writing) continue;
     // One that has only just connected is about to ask.
     const bool new_here = !client->asked && now - client->connected <= kTimeToAsk;
-    if (service_.ReleasesIdle(now, client->last_active) && !new_here && Idle(*client)) {
+    if (serving_state_.ClosesIdle(now, client->last_active) && !new_here && Idle(*client)) {
       Finish(client);
       continue;
     }
@@ -763,8 +763,8 @@
 void ClientFront::Stop() {
   std::error_code ignored;
   acceptor_.close(ignored);
-  accept_pause_.Off();
-  sweep_.Off();
+  accept_pause_.Cancel();
+  sweep_.Cancel();
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) Close(client);
 }
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -13,13 +13,13 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "src/event_loop/cancellable_timer.hpp"
+#include "src/event_loop/loop_clock.hpp"
 #include "src/exchange/exchange.hpp"
-#include "src/net/alarm.hpp"
-#include "src/net/clock.hpp"
-#include "src/net/service.hpp"
 #include "src/net/statement_budget.hpp"
 #include "src/pg/statement.hpp"
 #include "src/pg/wire.hpp"
+#include "src/serving_state/serving_state.hpp"
 
 namespace tulipyoke::net {
 
@@ -48,7 +48,7 @@
 class ClientFront {
  public:
   // Throws std::runtime_error where the address cannot be listened on.
-  ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const Service& service,
+  ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const ServingState& serving_state,
               const FrontOptions& options);
   ~ClientFront();
 
@@ -110,12 +110,12 @@
   asio::io_context& io_;
   LoopClock& clock_;
   Exchange& exchange_;
-  const Service& service_;
+  const ServingState& serving_state_;
   FrontOptions options_;
   FrontCounters counters_;
   asio::ip::tcp::acceptor acceptor_;
-  Alarm accept_pause_;
-  Alarm sweep_;
+  CancellableTimer accept_pause_;
+  CancellableTimer sweep_;
   std::unordered_set<ClientPtr> clients_;
   std::unordered_map<RequestId, ClientPtr> asking_;
   std::unordered_set<std::string> open_ids_;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -5,8 +5,8 @@
 #include <chrono>
 #include <utility>
 
+#include "src/event_loop/endpoint.hpp"
 #include "src/log/log.hpp"
-#include "src/net/address.hpp"
 #include "src/pg/answer.hpp"
 #include "src/pg/wire.hpp"
 
@@ -45,7 +45,7 @@
       : socket(io), alarm(io), server(id), address(at), reader(pg::MessageReader::ForAnswers()) {}
 
   asio::ip::tcp::socket socket;
-  Alarm alarm;
+  CancellableTimer alarm;
   ServerId server;
   asio::ip::tcp::endpoint address;
   State state = State::kOpening;
@@ -126,10 +126,10 @@
   site.opening.push_back(link);
   ++connections_;
   ++counters_.opened;
-  link->alarm.At(clock_.ToSteady(clock_.Now() + options_.connect_timeout),
-                 [this, weak = std::weak_ptr(link)] {
-                   if (const Link late = weak.lock()) OpenFailed(late, Status::kConnectFailed);
-                 });
+  link->alarm.ExpireAt(clock_.ToSteady(clock_.Now() + options_.connect_timeout),
+                       [this, weak = std::weak_ptr(link)] {
+                         if (const Link late = weak.lock()) OpenFailed(late, Status::kConnectFailed);
+                       });
   link->socket.async_connect(link->address, [this, link](std::error_code error) {
     if (link->state != Connection::State::kOpening) return;
     if (!error) link->socket.non_blocking(true, error);
@@ -222,7 +222,7 @@
   if (link->reader.buffered() > 0 || !link->written()) {
     Retire(link);
   } else {
-    link->alarm.At(clock_.ToSteady(clock_.Now() + kRest), [this, weak = std::weak_ptr(link)] {
+    link->alarm.ExpireAt(clock_.ToSteady(clock_.Now() + kRest), [this, weak = std::weak_ptr(link)] {
       if (const Link rested = weak.lock()) OnReady(rested);
     });
   }
@@ -256,7 +256,7 @@
     case 'E':
       return OpenFailed(link, pg::ParseError(body).code == "53300" ? Status::kFull : Status::kConnectFailed);
     case 'Z':
-      link->alarm.Off();
+      link->alarm.Cancel();
       return OnReady(link);
     case 'S':
     case 'K':
@@ -387,7 +387,7 @@
   if (link->state == Connection::State::kBusy) busy_.erase(link->ticket);
   link->state = Connection::State::kClosed;
   link->transfer.reset();
-  link->alarm.Off();
+  link->alarm.Cancel();
   std::error_code ignored;
   link->socket.close(ignored);
   --connections_;
@@ -461,10 +461,11 @@
 
 void ServerPool::ArmSweep() {
   const auto rest = static_cast<Micros>((1 - kIdleShare) * static_cast<double>(options_.idle_close));
-  sweep_.In(std::chrono::microseconds(std::clamp(rest / kSweepsInRest, kLeastSweep, kSweepEvery)), [this] {
-    Sweep();
-    ArmSweep();
-  });
+  sweep_.ExpireAfter(std::chrono::microseconds(std::clamp(rest / kSweepsInRest, kLeastSweep, kSweepEvery)),
+                     [this] {
+                       Sweep();
+                       ArmSweep();
+                     });
 }
 
 Micros ServerPool::OldestIdle() {
@@ -493,7 +494,7 @@
 }
 
 void ServerPool::Stop() {
-  sweep_.Off();
+  sweep_.Cancel();
   for (auto& [server, site] : sites_) {
     for (const Link& link : std::vector<Link>(site.idle)) Close(link);
     for (const Link& link : std::vector<Link>(site.opening)) Close(link);
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -13,9 +13,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/event_loop/cancellable_timer.hpp"
+#include "src/event_loop/loop_clock.hpp"
 #include "src/exchange/exchange.hpp"
-#include "src/net/alarm.hpp"
-#include "src/net/clock.hpp"
 
 namespace tulipyoke::net {
 
@@ -102,7 +102,7 @@
   Exchange& exchange_;
   PoolOptions options_;
   PoolCounters counters_;
-  Alarm sweep_;
+  CancellableTimer sweep_;
   std::map<ServerId, Site> sites_;
   std::unordered_map<Ticket, Link> busy_;
   std::unordered_map<Ticket, ServerId> waiting_;
--- /dev/null
+++ b/src/server/admin_calls.hpp
@@ -0,0 +1,43 @@
+// The calls of the admin server: readiness, counters, the view of the servers, and taking the process out of
+// service and back.
+#ifndef TULIPYOKE_SRC_SERVER_ADMIN_CALLS_HPP_
+#define TULIPYOKE_SRC_SERVER_ADMIN_CALLS_HPP_
+
+#include <string>
+
+#include "src/admin/admin_response.hpp"
+#include "src/event_loop/loop_clock.hpp"
+#include "src/exchange/exchange.hpp"
+#include "src/net/directory.hpp"
+#include "src/serving_state/serving_state.hpp"
+
+namespace tulipyoke::net {
+
+// Used on the event loop's thread only. What it is given must outlive it.
+class AdminCalls {
+ public:
+  // `directory` is null where the registry is the only source of servers: there is no view of them then.
+  AdminCalls(LoopClock& clock, Exchange& dispatcher, ServingState& serving_state, const Directory* directory);
+
+  AdminResponse Answer(const std::string& method, const std::string& path);
+
+ private:
+  struct Route;
+  static const Route kRoutes[];
+
+  const Route* Find(const std::string& path) const;
+  AdminResponse Ready();
+  AdminResponse Counters();
+  AdminResponse Servers();
+  AdminResponse OutOfService();
+  AdminResponse InService();
+
+  LoopClock& clock_;
+  Exchange& dispatcher_;
+  ServingState& serving_state_;
+  const Directory* directory_;
+};
+
+}  // namespace tulipyoke::net
+
+#endif  // TULIPYOKE_SRC_SERVER_ADMIN_CALLS_HPP_
--- /dev/null
+++ b/src/server/server.cpp
@@ -0,0 +1,165 @@
+#include "src/server/server.hpp"
+
+#include <csignal>
+#include <exception>
+#include <functional>
+#include <string>
+#include <system_error>
+#include <utility>
+
+#include "src/event_loop/endpoint.hpp"
+#include "src/log/log.hpp"
+#include "src/server/counters_log.hpp"
+#include "src/server/resource_quota.hpp"
+#include "src/server/shutdown_plan.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+// Handlers that one iteration runs at the most, so that timers and commands do not wait for a busy socket.
+constexpr int kMaxHandlersPerIteration = 64;
+// Replication positions are counted from the configured origin, a time of Unix. One that is not within this
+// long before the start was taken from another clock and says nothing of Unix time: they are counted from
+// shortly before the start instead.
+constexpr Micros kOldestOrigin = 86'400'000'000;
+constexpr Micros kOriginBeforeStart = 600'000'000;
+
+ExchangeOptions DispatcherOptions(const Config& config, Micros now) {
+  ExchangeOptions options{config.settings,        config.seed, config.zones, config.kinds,
+                          config.connect_timeout, config.trace};
+  options.settings.reports_are_floats = false;
+  const Micros origin = options.settings.origin;
+  if (origin > now || origin < now - kOldestOrigin) options.settings.origin = now - kOriginBeforeStart;
+  return options;
+}
+
+PoolOptions PoolOptionsOf(const Config& config) {
+  return {config.connect_timeout, config.idle_close, QuotaFor(config, kWholeShare).server_connections};
+}
+
+FrontOptions ListenerOptions(const Config& config, std::function<void()> before_request) {
+  return {ToEndpoint(config.listen), QuotaFor(config, kWholeShare).clients, config.accept_fd,
+          std::move(before_request)};
+}
+
+// Empty where the registry is not a source of this router.
+std::string RegistryAddress(const Config& config) {
+  const bool watched = !config.directory.on() || config.directory.registry() >= 0;
+  return watched ? config.discovery : "";
+}
+
+}  // namespace
+
+Server::Server(const Config& config)
+    : config_(config),
+      signals_(io_, SIGHUP, SIGTERM, SIGINT),
+      dispatcher_(DispatcherOptions(config, clock_.Now())),
+      pool_(io_, clock_, dispatcher_, PoolOptionsOf(config)),
+      listener_(io_, clock_, dispatcher_, serving_state_,
+                ListenerOptions(config, [this] { hot_restart_.ReceivePending(); })),
+      directory_(MakeDirectory()),
+      registry_watch_(
+          io_, [this](const Listing& listing) { OnRegistryListing(listing); }, RegistryAddress(config),
+          config.known.version, limits::ListPace(config.settings, config.seed)),
+      admin_calls_(clock_, dispatcher_, serving_state_, directory_.get()),
+      hot_restart_(io_, clock_, config_, dispatcher_, serving_state_, pool_, listener_),
+      command_executor_(dispatcher_, pool_, listener_, registry_watch_, hot_restart_),
+      shutdown_(io_, clock_, PlanShutdown(config.settings), dispatcher_, serving_state_, listener_),
+      dispatcher_timer_(io_) {
+  signals_.add(SIGUSR1);
+  dispatcher_.Start(clock_.Now(), config.known);
+  if (directory_ && !config.known.servers.empty()) directory_->Remember(config.known);
+  StartAdminServer();
+  AwaitSignal();
+  hot_restart_.Start();
+}
+
+void Server::StartAdminServer() {
+  if (config_.operators.empty()) return;
+  admin_server_.emplace(io_, ToEndpoint(config_.operators),
+                        [this](const std::string& method, const std::string& path) {
+                          return admin_calls_.Answer(method, path);
+                        });
+}
+
+std::unique_ptr<Directory> Server::MakeDirectory() {
+  if (!config_.directory.on()) return nullptr;
+  return std::make_unique<Directory>(io_, clock_, config_.directory, [this](const Listing& listing) {
+    dispatcher_.Heard(clock_.Now(), listing);
+  });
+}
+
+void Server::OnRegistryListing(const Listing& listing) {
+  if (directory_) return directory_->HeardRegistry(listing);
+  dispatcher_.Heard(clock_.Now(), listing);
+}
+
+void Server::Run() {
+  EndIteration();
+  while (!finished_) {
+    clock_.BeginIteration();
+    ++iterations_;
+    if (io_.run_one() == 0) break;
+    command_executor_.ExecuteAll();
+    for (int handled = 1; handled < kMaxHandlersPerIteration && io_.poll_one() > 0; ++handled) {
+      command_executor_.ExecuteAll();
+    }
+    EndIteration();
+  }
+  LogAllCounters();
+}
+
+void Server::EndIteration() {
+  dispatcher_.Tick(clock_.Now());
+  command_executor_.ExecuteAll();
+  ArmDispatcherTimer();
+  finished_ = shutdown_.Advance();
+  if (finished_) hot_restart_.Stop();
+}
+
+void Server::ArmDispatcherTimer() {
+  const std::optional<Micros> due = dispatcher_.NextDue();
+  if (!due || due == dispatcher_timer_armed_for_) return;
+  dispatcher_timer_armed_for_ = due;
+  dispatcher_timer_.expires_at(clock_.ToSteady(*due));
+  dispatcher_timer_.async_wait([this](std::error_code error) {
+    if (!error) dispatcher_timer_armed_for_.reset();
+  });
+}
+
+void Server::AwaitSignal() {
+  signals_.async_wait([this](std::error_code error, int signal) {
+    if (error) return;
+    OnSignal(signal);
+    AwaitSignal();
+  });
+}
+
+void Server::OnSignal(int signal) {
+  switch (signal) {
+    case SIGUSR1:
+      return LogAllCounters();
+    case SIGHUP:
+      return Reload();
+    default:
+      return shutdown_.Begin();
+  }
+}
+
+// Of a new configuration only the address of the registry is used: all else is built into what runs.
+void Server::Reload() {
+  try {
+    const std::string address = ReloadConfig().discovery;
+    registry_watch_.Redirect(address);
+    LogInfo("configuration_read", "configuration read anew: discovery is at " + address);
+  } catch (const std::exception& error) {
+    LogWarning("configuration_refused", "the new configuration is not used: " + std::string(error.what()));
+  }
+}
+
+void Server::LogAllCounters() {
+  const AdminServer* const admin_server = admin_server_ ? &*admin_server_ : nullptr;
+  LogCounters({dispatcher_, listener_, pool_, registry_watch_, admin_server, directory_.get()}, clock_.Now());
+}
+
+}  // namespace tulipyoke::net
--- /dev/null
+++ b/src/server/server.hpp
@@ -0,0 +1,78 @@
+// One router: the event loop, everything that runs on it, and how the process starts, reloads its
+// configuration and stops.
+#ifndef TULIPYOKE_SRC_SERVER_SERVER_HPP_
+#define TULIPYOKE_SRC_SERVER_SERVER_HPP_
+
+#include <asio.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "src/admin/admin_server.hpp"
+#include "src/config/config.hpp"
+#include "src/event_loop/loop_clock.hpp"
+#include "src/exchange/exchange.hpp"
+#include "src/net/directory.hpp"
+#include "src/net/discovery.hpp"
+#include "src/net/front.hpp"
+#include "src/net/pool.hpp"
+#include "src/server/admin_calls.hpp"
+#include "src/server/command_executor.hpp"
+#include "src/server/graceful_shutdown.hpp"
+#include "src/server/hot_restart_coordinator.hpp"
+#include "src/serving_state/serving_state.hpp"
+
+namespace tulipyoke::net {
+
+// SIGTERM and SIGINT stop it, SIGHUP reloads the configuration, SIGUSR1 logs the counters.
+class Server {
+ public:
+  // Listens, and connects to an older process of this router, if there is one. Throws std::exception where it
+  // cannot start.
+  explicit Server(const Config& config);
+
+  // Runs the event loop on the calling thread until the shutdown has finished.
+  void Run();
+
+  // Of the clients' and the admin server's listening sockets; 0 where there is no admin server.
+  std::uint16_t port() const { return listener_.port(); }
+  std::uint16_t admin_port() const { return admin_server_ ? admin_server_->port() : 0; }
+  // Of the event loop; it sleeps between two of them where nothing is to be done.
+  std::uint64_t iterations() const { return iterations_; }
+
+ private:
+  void StartAdminServer();
+  std::unique_ptr<Directory> MakeDirectory();
+  void OnRegistryListing(const Listing& listing);
+  void AwaitSignal();
+  void OnSignal(int signal);
+  void Reload();
+  void EndIteration();
+  void ArmDispatcherTimer();
+  void LogAllCounters();
+
+  const Config config_;
+  asio::io_context io_{1};
+  // Before all that takes time: a signal that comes while the rest is constructed is handled afterwards.
+  asio::signal_set signals_;
+  LoopClock clock_;
+  Exchange dispatcher_;
+  ServingState serving_state_;
+  ServerPool pool_;
+  ClientFront listener_;
+  std::unique_ptr<Directory> directory_;  // null: the registry is the only source of servers
+  DiscoveryWatch registry_watch_;
+  AdminCalls admin_calls_;
+  std::optional<AdminServer> admin_server_;
+  HotRestartCoordinator hot_restart_;
+  CommandExecutor command_executor_;
+  GracefulShutdown shutdown_;
+  asio::steady_timer dispatcher_timer_;
+  std::optional<Micros> dispatcher_timer_armed_for_;
+  bool finished_ = false;
+  std::uint64_t iterations_ = 0;
+};
+
+}  // namespace tulipyoke::net
+
+#endif  // TULIPYOKE_SRC_SERVER_SERVER_HPP_
--- a/tests/admin/golden_bytes_test.cpp
+++ b/tests/admin/golden_bytes_test.cpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-#include "tests/running.hpp"
+#include "tests/support/running_server.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -21,7 +21,7 @@
 constexpr const char* kEndOfHead = "\r\nConnection: close\r\n\r\n";
 
 TEST(AdminGoldenBytes, OfReadinessAndOfTakingTheRouterOutOfService) {
-  Running router({});
+  RunningServer router({});
   const std::string yes = PlainText("200 OK", 4) + kEndOfHead + "yes\n";
   EXPECT_EQ(router.Call("GET", "/control/ready"), yes);
   EXPECT_EQ(router.Call("GET", "/control/ready?now=1"), yes);
@@ -37,7 +37,7 @@
 }
 
 TEST(AdminGoldenBytes, OfTheCounters) {
-  Running router({});
+  RunningServer router({});
   const std::string body =
       "passed.any=0\ndropped.any=0\nbad_gateway.any=0\nupstream_tries=0\nin_progress=0\n"
       "known_readings_servers=0\nskipped_readings_servers=0\n";
@@ -45,7 +45,7 @@
 }
 
 TEST(AdminGoldenBytes, OfRejectedCalls) {
-  Running router({});
+  RunningServer router({});
   const std::string unknown = PlainText("404 Not Found", 13) + kEndOfHead + "no such call\n";
   // Without DNS-SD sources, there is no view of the servers.
   for (const char* path : {"/control/nothing", "/control/servers", "/control/ready/", "/"}) {
@@ -65,7 +65,7 @@
 }
 
 TEST(AdminGoldenBytes, OfACallThatIsNotCompleteInTime) {
-  Running router({});
+  RunningServer router({});
   EXPECT_EQ(router.Call("GET /control/re"),
             PlainText("408 Request Timeout", 27) + kEndOfHead + "no whole call came in time\n");
 }
@@ -78,7 +78,7 @@
     const std::lock_guard wait(gate);
     return Row("v");
   });
-  Running router({server.port()});
+  RunningServer router({server.port()});
   Peer busy = router.Session();
   busy.Write(Ask("1"));
   while (server.queries().empty()) std::this_thread::yield();
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -358,7 +358,7 @@
     const auto over = std::chrono::steady_clock::now() + std::chrono::milliseconds(320);
     while (std::chrono::steady_clock::now() < over) {
     }
-    rig.clock.NewTurn();
+    rig.clock.BeginIteration();
     if (!answer_first) rig.Carry();
     rig.Settle();
     EXPECT_EQ(rig.Served(id), answer_first);
@@ -419,7 +419,7 @@
   asio::io_context io;
   LoopClock clock;
   Exchange exchange({Settings{}, 1, {}, {}, 1'000'000});
-  const Service service;
+  const ServingState service;
   tcp::acceptor held(io, Loopback(0));  // as the platform does
   FrontOptions options{Loopback(0), {100, 100, 100, 1 << 20}};
   options.accept_fd = ::dup(held.native_handle());
@@ -478,7 +478,7 @@
   LoopClock clock;
   Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
   exchange.Start(clock.Now(), Listing{1, true, {}});
-  const Service service;
+  const ServingState service;
   ClientFront* told = nullptr;
   FrontOptions options{Loopback(0), {100, 100, 100, 1 << 20}};
   options.before_request = [&] { told->Resize({0, 100, 100, 1 << 20}); };
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -10,7 +10,7 @@
 #include "standins/dns_responder.hpp"
 #include "standins/pg_client.hpp"
 #include "standins/pg_server.hpp"
-#include "tests/running.hpp"
+#include "tests/support/running_server.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -31,7 +31,7 @@
   // Servers and the loop they live in go last.
   ~DirectoryTest() override { loop_.Stop(); }
 
-  Running::Adjust FromRecords(const std::string& mode, nlohmann::json more = nlohmann::json::object()) {
+  RunningServer::Adjust FromRecords(const std::string& mode, nlohmann::json more = nlohmann::json::object()) {
     nlohmann::json source{{"type", "dns-sd"}, {"zone", kZone},          {"mode", mode},
                           {"look_ms", 50},    {"retry_ms", 50},         {"resolvers", {responder_.address()}},
                           {"site", "derby"},  {"least_refresh_ms", 100}};
@@ -76,7 +76,7 @@
   for (const char* mode : {"poll", "serial", "transfer"}) {
     standins::PgServer& server = AddServer(std::string("s-") + mode);
     responder_.Publish({RecordsOf(server)});
-    Running node({}, 256, 1, FromRecords(mode));
+    RunningServer node({}, 256, 1, FromRecords(mode));
     standins::PgClient client(node.port(), history_, mode, mode);
     EXPECT_EQ(FirstValue(client), "from " + server.name()) << node.Call("GET", "/control/servers");
     responder_.Withdraw({server.name()});
@@ -90,7 +90,7 @@
   standins::PgServer& staying = AddServer("staying");
   for (standins::PgServer* server : {&going, &staying}) server->Behave({.service = 60'000});
   responder_.Publish({RecordsOf(going), RecordsOf(staying)});
-  Running node({}, 256, 1, FromRecords("serial"));
+  RunningServer node({}, 256, 1, FromRecords("serial"));
   standins::PgClient first(node.port(), history_, "n1", "first");
   FirstValue(first);
   standins::PgCrowd crowd(node.port(), history_, "n1", 6, "any");
@@ -125,10 +125,10 @@
     config.settings.reports = ReportVia::kProbe;
     config.settings.report_fields = {"x0", "x1", "util"};
   };
-  std::vector<std::unique_ptr<Running>> nodes;
+  std::vector<std::unique_ptr<RunningServer>> nodes;
   std::vector<std::unique_ptr<standins::PgCrowd>> crowds;
   for (int i = 0; i < 3; ++i) {
-    nodes.push_back(std::make_unique<Running>(std::vector<std::uint16_t>(), 256, 1, three));
+    nodes.push_back(std::make_unique<RunningServer>(std::vector<std::uint16_t>(), 256, 1, three));
     const std::string name = "n" + std::to_string(i);
     standins::PgClient first(nodes.back()->port(), history_, name, name + "-first");
     ASSERT_EQ(FirstValue(first), "from warm");
@@ -164,7 +164,7 @@
   standins::PgServer& steady = AddServer("steady");
   standins::PgServer& flaps = AddServer("flaps");
   responder_.Publish({RecordsOf(steady), RecordsOf(flaps)});
-  Running node({}, 256, 1, FromRecords("serial"));
+  RunningServer node({}, 256, 1, FromRecords("serial"));
   standins::PgClient first(node.port(), history_, "n1", "first");
   FirstValue(first);
   standins::PgCrowd crowd(node.port(), history_, "n1", 4, "any");
@@ -186,7 +186,7 @@
 TEST_F(DirectoryTest, TheListHoldsThroughSilenceAndNonsense) {
   standins::PgServer& server = AddServer("s");
   responder_.Publish({RecordsOf(server)});
-  Running node({}, 256, 1, FromRecords("poll"));
+  RunningServer node({}, 256, 1, FromRecords("poll"));
   standins::PgClient client(node.port(), history_, "n1", "c");
   FirstValue(client);
   for (const auto fault : {standins::DnsFault::kSilent, standins::DnsFault::kGarbage,
--- a/tests/hot_restart/golden_bytes_test.cpp
+++ b/tests/hot_restart/golden_bytes_test.cpp
@@ -19,8 +19,8 @@
 #include <variant>
 #include <vector>
 
-#include "src/net/handover.hpp"
-#include "tests/running.hpp"
+#include "src/hot_restart/hot_restart.hpp"
+#include "tests/support/running_server.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -30,12 +30,12 @@
 constexpr std::uint64_t kLargestKey = std::numeric_limits<std::uint64_t>::max();
 
 TEST(HotRestartGoldenBytes, EachKindOfMessageIsWrittenAsRecorded) {
-  EXPECT_EQ(ToLine(HandoverStep::kHello), "hello\n");
-  EXPECT_EQ(ToLine(HandoverStep::kSynced), "synced\n");
-  EXPECT_EQ(ToLine(HandoverStep::kServing), "serving\n");
-  EXPECT_EQ(ToLine(HandoverStep::kDone), "done\n");
-  EXPECT_EQ(ToLine(HandoverHolds{0}), "holds 0\n");
-  EXPECT_EQ(ToLine(HandoverHolds{4096}), "holds 4096\n");
+  EXPECT_EQ(ToLine(HotRestartStep::kHello), "hello\n");
+  EXPECT_EQ(ToLine(HotRestartStep::kSynced), "synced\n");
+  EXPECT_EQ(ToLine(HotRestartStep::kServing), "serving\n");
+  EXPECT_EQ(ToLine(HotRestartStep::kDone), "done\n");
+  EXPECT_EQ(ToLine(DescriptorUsage{0}), "holds 0\n");
+  EXPECT_EQ(ToLine(DescriptorUsage{4096}), "holds 4096\n");
   EXPECT_EQ(ToLine(SessionNews{0, 0, 0}), "session 0 0 0\n");
   EXPECT_EQ(ToLine(SessionNews{kLargestKey, 3, 1767225600123}),
             "session 18446744073709551615 3 1767225600123\n");
@@ -47,35 +47,35 @@
 }
 
 TEST(HotRestartGoldenBytes, RecordedStepsAreParsed) {
-  const std::array<std::pair<std::string_view, HandoverStep>, 4> recorded = {{
-      {"hello", HandoverStep::kHello},
-      {"synced", HandoverStep::kSynced},
-      {"serving", HandoverStep::kServing},
-      {"done", HandoverStep::kDone},
+  const std::array<std::pair<std::string_view, HotRestartStep>, 4> recorded = {{
+      {"hello", HotRestartStep::kHello},
+      {"synced", HotRestartStep::kSynced},
+      {"serving", HotRestartStep::kServing},
+      {"done", HotRestartStep::kDone},
   }};
   for (const auto& [line, step] : recorded) {
-    const auto message = ParseHandoverLine(line);
+    const auto message = ParseHotRestartMessage(line);
     ASSERT_TRUE(message) << line;
-    ASSERT_TRUE(std::holds_alternative<HandoverStep>(*message)) << line;
-    EXPECT_EQ(std::get<HandoverStep>(*message), step) << line;
+    ASSERT_TRUE(std::holds_alternative<HotRestartStep>(*message)) << line;
+    EXPECT_EQ(std::get<HotRestartStep>(*message), step) << line;
   }
 }
 
 TEST(HotRestartGoldenBytes, RecordedDescriptorCountsAreParsed) {
   for (const int descriptors : {0, 77, 4096}) {
-    const auto message = ParseHandoverLine("holds " + std::to_string(descriptors));
-    ASSERT_TRUE(message && std::holds_alternative<HandoverHolds>(*message));
-    EXPECT_EQ(std::get<HandoverHolds>(*message).descriptors, descriptors);
+    const auto message = ParseHotRestartMessage("holds " + std::to_string(descriptors));
+    ASSERT_TRUE(message && std::holds_alternative<DescriptorUsage>(*message));
+    EXPECT_EQ(std::get<DescriptorUsage>(*message).descriptors, descriptors);
   }
 }
 
 TEST(HotRestartGoldenBytes, RecordedSessionsAreParsed) {
-  const auto largest = ParseHandoverLine("session 18446744073709551615 3 1767225600123");
+  const auto largest = ParseHotRestartMessage("session 18446744073709551615 3 1767225600123");
   ASSERT_TRUE(largest && std::holds_alternative<SessionNews>(*largest));
   EXPECT_EQ(std::get<SessionNews>(*largest).key, kLargestKey);
   EXPECT_EQ(std::get<SessionNews>(*largest).group, 3);
   EXPECT_EQ(std::get<SessionNews>(*largest).commit_unix_ms, 1767225600123);
-  const auto negative = ParseHandoverLine("session 0 -1 -5");
+  const auto negative = ParseHotRestartMessage("session 0 -1 -5");
   ASSERT_TRUE(negative && std::holds_alternative<SessionNews>(*negative));
   EXPECT_EQ(std::get<SessionNews>(*negative).key, 0u);
   EXPECT_EQ(std::get<SessionNews>(*negative).group, -1);
@@ -83,19 +83,19 @@
 }
 
 TEST(HotRestartGoldenBytes, RecordedServersAreParsed) {
-  const auto primary = ParseHandoverLine("server 1 17 1767225600123 s-5 b");
+  const auto primary = ParseHotRestartMessage("server 1 17 1767225600123 s-5 b");
   ASSERT_TRUE(primary && std::holds_alternative<ServerNews>(*primary));
   EXPECT_EQ(std::get<ServerNews>(*primary).id, "s-5 b");
   EXPECT_EQ(std::get<ServerNews>(*primary).role, Role::kPrimary);
   EXPECT_EQ(std::get<ServerNews>(*primary).heard, 17);
   EXPECT_EQ(std::get<ServerNews>(*primary).position_unix_ms, 1767225600123);
-  const auto replica = ParseHandoverLine("server 2 -2 -3 r.example.");
+  const auto replica = ParseHotRestartMessage("server 2 -2 -3 r.example.");
   ASSERT_TRUE(replica && std::holds_alternative<ServerNews>(*replica));
   EXPECT_EQ(std::get<ServerNews>(*replica).id, "r.example.");
   EXPECT_EQ(std::get<ServerNews>(*replica).role, Role::kReplica);
   EXPECT_EQ(std::get<ServerNews>(*replica).heard, -2);
   EXPECT_EQ(std::get<ServerNews>(*replica).position_unix_ms, -3);
-  const auto unknown = ParseHandoverLine("server 0 0 0  two spaces");
+  const auto unknown = ParseHotRestartMessage("server 0 0 0  two spaces");
   ASSERT_TRUE(unknown && std::holds_alternative<ServerNews>(*unknown));
   EXPECT_EQ(std::get<ServerNews>(*unknown).role, Role::kUnknown);
   EXPECT_EQ(std::get<ServerNews>(*unknown).id, " two spaces");
@@ -139,18 +139,18 @@
                            "server  1 1 1 s",
                            "bye",
                            "GET / HTTP/1.1"}) {
-    EXPECT_FALSE(ParseHandoverLine(line)) << "'" << line << "'";
+    EXPECT_FALSE(ParseHotRestartMessage(line)) << "'" << line << "'";
   }
 }
 
 // A trailing separator behind the last number is accepted, and always has been.
 TEST(HotRestartGoldenBytes, ATrailingSpaceIsAcceptedAsRecorded) {
-  const auto session = ParseHandoverLine("session 1 2 3 ");
+  const auto session = ParseHotRestartMessage("session 1 2 3 ");
   ASSERT_TRUE(session && std::holds_alternative<SessionNews>(*session));
   EXPECT_EQ(std::get<SessionNews>(*session).commit_unix_ms, 3);
-  const auto usage = ParseHandoverLine("holds 1 ");
-  ASSERT_TRUE(usage && std::holds_alternative<HandoverHolds>(*usage));
-  EXPECT_EQ(std::get<HandoverHolds>(*usage).descriptors, 1);
+  const auto usage = ParseHotRestartMessage("holds 1 ");
+  ASSERT_TRUE(usage && std::holds_alternative<DescriptorUsage>(*usage));
+  EXPECT_EQ(std::get<DescriptorUsage>(*usage).descriptors, 1);
 }
 
 // A running router beside a peer process that is a bare socket of the test's.
@@ -161,8 +161,8 @@
   }
   ~HotRestartGoldenTranscript() override { std::filesystem::remove_all(folder_); }
 
-  std::unique_ptr<Running> Start(const std::vector<std::uint16_t>& servers) {
-    return std::make_unique<Running>(servers, 256, 1, [&](Config& config) {
+  std::unique_ptr<RunningServer> Start(const std::vector<std::uint16_t>& servers) {
+    return std::make_unique<RunningServer>(servers, 256, 1, [&](Config& config) {
       config.accept_fd = ::dup(listening_.native_handle());
       config.temporary = folder_;
       config.settings.classes[0].deadline = 300'000;  // so that a shutdown is soon over
@@ -184,7 +184,7 @@
     asio::read(peer, asio::dynamic_buffer(bytes), end);
     return bytes;
   }
-  static void AwaitReady(Running& router, std::string_view status) {
+  static void AwaitReady(RunningServer& router, std::string_view status) {
     const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(20);
     std::string answer = router.Call("GET", "/control/ready");
     while (answer.find(status) == std::string::npos && std::chrono::steady_clock::now() < give_up) {
@@ -203,7 +203,7 @@
 
 // All that an older process of this version sends to a newer one, from its greeting to the end.
 TEST_F(HotRestartGoldenTranscript, OfAnOlderProcess) {
-  const std::unique_ptr<Running> older = Start({1});
+  const std::unique_ptr<RunningServer> older = Start({1});
   Local::socket newer(io_);
   newer.connect(Local::endpoint(SocketPath()));
   Write(newer, "hello\n");
@@ -221,7 +221,7 @@
 // All that a newer process of this version sends to an older one, from its greeting to the end.
 TEST_F(HotRestartGoldenTranscript, OfANewerProcess) {
   Local::acceptor acceptor(io_, Local::endpoint(SocketPath()));
-  const std::unique_ptr<Running> newer = Start({});
+  const std::unique_ptr<RunningServer> newer = Start({});
   Local::socket older = acceptor.accept();
   const std::string greeting = "hello\n";
   EXPECT_EQ(Read(older, greeting.size()), greeting);
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -12,7 +12,7 @@
 
 #include "src/net/front.hpp"
 #include "tests/rig.hpp"
-#include "tests/running.hpp"
+#include "tests/support/running_server.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -27,10 +27,10 @@
 
 class Leaving : public testing::Test {
  protected:
-  static bool NothingOut(Running& node) {
+  static bool NothingOut(RunningServer& node) {
     return node.Call("GET", "/control/counters").find("in_progress=0\n") != std::string::npos;
   }
-  static bool Out(Running& node, int requests) {
+  static bool Out(RunningServer& node, int requests) {
     return node.Call("GET", "/control/counters").find("in_progress=" + std::to_string(requests) + "\n") !=
            std::string::npos;
   }
@@ -42,7 +42,7 @@
     tcp::acceptor acceptor(io, Loopback(0));
     std::vector<tcp::socket> held;
     {
-      Running node({acceptor.local_endpoint().port()}, 512, 1, [](Config& config) {
+      RunningServer node({acceptor.local_endpoint().port()}, 512, 1, [](Config& config) {
         config.settings.classes[0].effect = Effect::kUnsafe;
         config.connect_timeout = 20'000'000;
       });
@@ -97,8 +97,8 @@
     return Row("v");
   });
   {
-    Running node({server.port()}, 256, 1,
-                 [](Config& config) { config.settings.classes[0].effect = Effect::kUnsafe; });
+    RunningServer node({server.port()}, 256, 1,
+                       [](Config& config) { config.settings.classes[0].effect = Effect::kUnsafe; });
     std::string more;
     for (int i = 0; more.size() < 150'000; ++i) more += Ask("m" + std::to_string(i));
     Peer client = node.Session();
@@ -122,7 +122,7 @@
     if (first) const std::lock_guard wait(gate);
     return Row(first ? "late" : "in time");
   });
-  Running node({server.port()});
+  RunningServer node({server.port()});
   Peer first = node.Session(), further = node.Session();
   first.Write(Ask("first"));
   while (server.queries().empty()) std::this_thread::yield();
@@ -189,7 +189,7 @@
   LoopClock clock;
   Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
   exchange.Start(clock.Now(), Listing{1, true, {}});
-  const Service service;
+  const ServingState service;
   ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 100, 1 << 20, 1 << 20}});
   front.StartAccepting();
   const std::string large = Query(std::string(900'000, 'x'));
@@ -209,7 +209,7 @@
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     while (front.clients() == 2 && std::chrono::steady_clock::now() < end) {
       peers.front().Write("x");  // so that it is not let go itself, and its room with it
-      clock.NewTurn();
+      clock.BeginIteration();
       io.run_one_for(std::chrono::milliseconds(20));
     }
     EXPECT_EQ(front.clients(), 1u);
--- /dev/null
+++ b/tests/listener/large_value_test.cpp
@@ -0,0 +1,143 @@
+// Large values and large statements, which are passed on in parts.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <cstddef>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/net/statement_budget.hpp"
+#include "src/pg/wire.hpp"
+#include "tests/support/running_server.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+std::string Noise(std::size_t size) {
+  std::mt19937 random(7);
+  std::string bytes(size, '\0');
+  for (char& c : bytes) c = static_cast<char>(random());
+  return bytes;
+}
+
+// Large values are not taken for malformed data, not buffered as a whole, and not mixed up with what follows.
+TEST(LargeValue, ReachesTheClientUnchanged) {
+  const std::string value = Noise(std::size_t{4} << 20);
+  ScriptedServer server([&](const std::string& query) {
+    return Row(query.find("id=1,") == std::string::npos ? "small" : value);
+  });
+  RunningServer router({server.port()});
+  Peer client = router.Session();
+  const int small = 65536;
+  setsockopt(client.socket().native_handle(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  client.Write(Ask("1") + Ask("2"));
+  // Another client is served while this one does not read.
+  Peer other = router.Session();
+  other.Write(Ask("3"));
+  EXPECT_EQ(other.UntilReady()[0].first, 'T');
+  const Messages m = client.UntilReady();
+  ASSERT_EQ(m.size(), 4u);
+  EXPECT_EQ(m[0].second, kShape);
+  EXPECT_TRUE(pg::ParseSingleColumn(m[1].second) == value);
+  EXPECT_EQ(m[2].second, std::string("SELECT 1\0", 9));
+  EXPECT_EQ(pg::ParseSingleColumn(client.UntilReady()[1].second), "small");
+  EXPECT_NE(router.Call("GET", "/control/counters").find("passed.any=3\n"), std::string::npos);
+}
+
+// A value that breaks off must not look complete, and a retry must not send its rest.
+TEST(LargeValue, ABrokenValueClosesTheConnectionWithoutRetry) {
+  for (const bool garbage : {false, true}) {
+    std::string answer = Row(Noise(300'000));
+    if (garbage) answer[answer.size() - 50] = '\xff';  // behind the value
+    const std::string sent = garbage ? answer : answer.substr(0, 200'000);
+    ScriptedServer server([&](const std::string&) { return sent; }, !garbage);
+    RunningServer router({server.port()});
+    Peer client = router.Session();
+    client.Write(Ask("1") + Ask("2"));
+    for (const auto& [type, body] : client.UntilReady())
+      EXPECT_TRUE(type == 'T' || type == 'D' || type == '\0');
+    EXPECT_EQ(server.queries().size(), 1u);
+    EXPECT_NE(router.Call("GET", "/control/counters").find("bad_gateway.any=1\n"), std::string::npos);
+  }
+}
+
+// Large statements wait for memory without delaying small ones, and are neither rejected nor changed.
+TEST(LargeStatement, WaitsForMemoryAndReachesTheServerUnchanged) {
+  std::mutex gate;
+  gate.lock();
+  ScriptedServer server([&](const std::string& query) {
+    if (query.starts_with("INSERT")) const std::lock_guard wait(gate);
+    std::string answer = Row("for " + query.substr(query.find("id="), 4));
+    return answer.replace(answer.find("standby"), 7, "primary");
+  });
+  // Room for two of them.
+  RunningServer router({server.port()}, 256, 1, [](Config& config) {
+    config.settings.classes[0].freshness = Freshness::kAny;
+    config.settings.classes.push_back(config.settings.classes[0]);
+    config.settings.classes[1].name = "put";
+    config.settings.classes[1].freshness = Freshness::kWrite;
+    config.settings.listed_role = ListedRole::kStart;
+    config.known.servers[0].leads = true;
+    config.memory_bytes = std::size_t{48} << 20;
+    config.connect_timeout = 5'000'000;  // the loop may be busy with these for longer than usual
+  });
+  const std::string digits(std::size_t{8} << 20, 'a');
+  const auto statement = [&](const std::string& id) {
+    return "INSERT INTO rows (handle, blob) VALUES ('k', '\\x" + digits + "') RETURNING blob /* id=" + id +
+           ",c=put,d=20000,cluster=0 */";
+  };
+  std::vector<Peer> writers;
+  std::vector<std::thread> sending;
+  for (int i = 0; i < 4; ++i) writers.push_back(router.Session());
+  for (int i = 0; i < 4; ++i) {
+    sending.emplace_back(
+        [&, i] { writers[static_cast<std::size_t>(i)].Write(Query(statement(std::to_string(i)))); });
+  }
+  while (server.queries().size() < 2) std::this_thread::yield();
+  Peer reader = router.Session();
+  reader.Write(Ask("r"));
+  EXPECT_EQ(reader.UntilReady()[0].first, 'T');
+  EXPECT_NE(router.Call("GET", "/control/counters").find("in_progress=2\n"), std::string::npos);
+  gate.unlock();
+  for (std::thread& t : sending) t.join();
+  for (std::size_t i = 0; i < 4; ++i) {
+    const Messages m = writers[i].UntilReady();
+    ASSERT_EQ(m.size(), 4u) << CodeOf(m) << " " << i;
+    EXPECT_EQ(pg::ParseSingleColumn(m[1].second), "for id=" + std::to_string(i));
+  }
+  for (const std::string& query : server.queries()) {
+    if (!query.starts_with("INSERT")) continue;
+    const std::string sent = statement(query.substr(query.find("id=") + 3, 1));
+    EXPECT_TRUE(query.substr(0, query.find(",d=")) == sent.substr(0, sent.find(",d=")));
+    EXPECT_EQ(query.substr(query.find(",cluster")), ",cluster=0 */");
+  }
+}
+
+// A statement larger than the whole budget does not wait for ever, and memory is returned.
+TEST(StatementBudget, ReturnsMemoryAndAdmitsOversizedStatements) {
+  int released = 0;
+  StatementBudget::Room outlives;
+  {
+    StatementBudget budget(100);
+    budget.OnRelease([&] { ++released; });
+    StatementBudget::Room a = budget.Reserve(60);
+    ASSERT_TRUE(a);
+    EXPECT_FALSE(budget.Reserve(41));
+    const StatementBudget::Room copy = a;
+    a.reset();
+    EXPECT_EQ(budget.held(), 60u);
+    EXPECT_TRUE(budget.Reserve(40));
+    EXPECT_EQ(released, 1);
+    outlives = copy;
+  }
+  StatementBudget small(10);
+  EXPECT_TRUE(small.Reserve(50));
+  outlives.reset();
+  EXPECT_EQ(released, 1);
+}
+
+}  // namespace
+}  // namespace tulipyoke::net
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -80,7 +80,7 @@
   // handlers of a turn.
   void Settle() {
     for (bool ran = true; ran; Carry()) {
-      clock.NewTurn();
+      clock.BeginIteration();
       for (ran = false; io.poll_one() > 0; ran = true) CarryOut();
     }
   }
@@ -90,7 +90,7 @@
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
     bool is = done();
     for (; !is && std::chrono::steady_clock::now() < end; is = done()) {
-      clock.NewTurn();
+      clock.BeginIteration();
       io.run_one_for(std::chrono::milliseconds(1));
       Carry();
     }
--- a/tests/running.hpp
+++ b/tests/support/running_server.hpp
@@ -1,6 +1,6 @@
-// The whole router in a thread of the test's, and clients for it.
-#ifndef TULIPYOKE_TESTS_RUNNING_HPP_
-#define TULIPYOKE_TESTS_RUNNING_HPP_
+// A complete router in a thread of its own, and clients for it.
+#ifndef TULIPYOKE_TESTS_SUPPORT_RUNNING_SERVER_HPP_
+#define TULIPYOKE_TESTS_SUPPORT_RUNNING_SERVER_HPP_
 
 #include <gtest/gtest.h>
 #include <unistd.h>
@@ -14,18 +14,18 @@
 #include <vector>
 
 #include "src/config/config.hpp"
-#include "src/net/node.hpp"
+#include "src/server/server.hpp"
 #include "standins/pg_peer.hpp"
 
 namespace tulipyoke::net {
 
 using namespace standins;  // NOLINT: of the tests, for brevity
 
-// A node in a thread of its own, stopped by the signal that stops it in service.
-class Running {
+// Runs a router until it is stopped, by the signal that stops it in service.
+class RunningServer {
  public:
   using Adjust = std::function<void(Config&)>;
-  explicit Running(
+  explicit RunningServer(
       const std::vector<std::uint16_t>& servers, int sockets = 256, std::uint16_t discovery = 1,
       const Adjust& adjust = [](Config&) {}) {
     std::string members;
@@ -41,32 +41,32 @@
            "domain":{"freshness":["loose"]},
            "policy_limits":{"retry_after":true,"max_retry_after":500000}}})");
     adjust(config);
-    node_ = std::make_unique<Node>(config);
-    thread_ = std::thread([this] { node_->Run(); });
+    server_ = std::make_unique<Server>(config);
+    thread_ = std::thread([this] { server_->Run(); });
   }
-  ~Running() { Stop(); }
+  ~RunningServer() { Stop(); }
   void Stop() {
     if (!thread_.joinable()) return;
     kill(getpid(), SIGTERM);
     thread_.join();
   }
-  // Once it has stopped.
-  std::uint64_t turns() const { return node_->turns(); }
-  std::uint16_t port() const { return node_->port(); }
+  // Of the event loop; to be called once the router has stopped.
+  std::uint64_t iterations() const { return server_->iterations(); }
+  std::uint16_t port() const { return server_->port(); }
   Peer Connect() {
     tcp::socket socket(io_);
-    socket.connect(Loopback(node_->port()));
+    socket.connect(Loopback(server_->port()));
     return Peer(std::move(socket), false);
   }
-  tcp::socket CallDoor(const std::string& bytes) {
+  tcp::socket ConnectToAdminServer(const std::string& bytes) {
     tcp::socket socket(io_);
-    socket.connect(Loopback(node_->door_port()));
+    socket.connect(Loopback(server_->admin_port()));
     asio::write(socket, asio::buffer(bytes));
     return socket;
   }
-  // The whole answer to one call.
+  // The complete response to one request.
   std::string Call(const std::string& bytes) {
-    tcp::socket socket = CallDoor(bytes);
+    tcp::socket socket = ConnectToAdminServer(bytes);
     std::string answer;
     std::error_code end;
     asio::read(socket, asio::dynamic_buffer(answer), end);
@@ -86,10 +86,10 @@
 
  private:
   asio::io_context io_;
-  std::unique_ptr<Node> node_;
+  std::unique_ptr<Server> server_;
   std::thread thread_;
 };
 
 }  // namespace tulipyoke::net
 
-#endif  // TULIPYOKE_TESTS_RUNNING_HPP_
+#endif  // TULIPYOKE_TESTS_SUPPORT_RUNNING_SERVER_HPP_
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "src/net/alarm.hpp"
+#include "src/event_loop/cancellable_timer.hpp"
 #include "src/net/discovery.hpp"
 #include "standins/pg_peer.hpp"
 
@@ -24,24 +24,24 @@
 using std::chrono::milliseconds;
 
 // Guards against a wait that was begun anew, or called off, in the turn in which its old time was over.
-TEST(Alarm, WhatWasSetAnewOrCalledOffIsNotHeardOf) {
+TEST(CancellableTimer, WhatWasSetAnewOrCalledOffIsNotHeardOf) {
   asio::io_context io;
-  Alarm anew(io), off(io), rings(io);
-  auto gone = std::make_unique<Alarm>(io);
+  CancellableTimer anew(io), off(io), rings(io);
+  auto gone = std::make_unique<CancellableTimer>(io);
   std::string heard;
   const auto past = asio::steady_timer::clock_type::now() - milliseconds(10);
   asio::steady_timer first(io, past - milliseconds(10));  // its handler is queued before theirs
   first.async_wait([&](std::error_code) {
-    anew.In(hours(1), [&] { heard += "late"; });
-    off.Off();
+    anew.ExpireAfter(hours(1), [&] { heard += "late"; });
+    off.Cancel();
     gone.reset();
   });
-  anew.At(past, [&] { heard += "anew"; });
-  off.At(past, [&] { heard += "off"; });
-  gone->At(past, [&] { heard += "gone"; });
-  rings.At(past, [&] {
+  anew.ExpireAt(past, [&] { heard += "anew"; });
+  off.ExpireAt(past, [&] { heard += "off"; });
+  gone->ExpireAt(past, [&] { heard += "gone"; });
+  rings.ExpireAt(past, [&] {
     heard += "1";
-    rings.At(past, [&] { heard += "2"; });
+    rings.ExpireAt(past, [&] { heard += "2"; });
   });
   while (io.poll_one() > 0) {
   }
