--- a/src/server/hot_restart_coordinator.cpp
+++ b/src/server/hot_restart_coordinator.cpp
@@ -138,7 +138,7 @@
     SetQuota(kWholeShare);
     dispatcher_.TellOthers(false);
   }
-  if (!finished) DistrustSessions();
+  if (!finished) InvalidateSessions();
   if (peer == PeerProcess::kOlder) return Serve();
   if (serving_state_.state() != ServingState::State::kHandedOver) return;
   serving_state_.TakeBack(clock_.Now());
@@ -148,7 +148,7 @@
 // The lost process may have answered writes that this one was not told of. None of their sessions is known
 // until the last of these writes must have ended; after that, whatever session is not known here has been
 // lost.
-void HotRestartCoordinator::DistrustSessions() {
+void HotRestartCoordinator::InvalidateSessions() {
   dispatcher_.SessionsAre(clock_.Now(), {.known = false});
   sessions_timer_.ExpireAfter(std::chrono::microseconds(LongestDeadline(config_.settings)), [this] {
     dispatcher_.SessionsAre(clock_.Now(), {.known = true, .lost = true});
--- a/src/server/hot_restart_coordinator.hpp
+++ b/src/server/hot_restart_coordinator.hpp
@@ -43,7 +43,7 @@
   void Serve();
   void AwaitStateOfOlder();
   // Sessions whose writes were not replicated are treated as unknown until all such writes are over.
-  void DistrustSessions();
+  void InvalidateSessions();
   void SetQuota(double share);
   // Gives up what is not needed any more now that a newer process takes the clients; repeats itself.
   void ReduceQuota();
--- a/tests/server/hot_restart_coordinator_test.cpp
+++ b/tests/server/hot_restart_coordinator_test.cpp
@@ -27,11 +27,11 @@
     return Row("v");
   });
   asio::io_context io;
-  tcp::acceptor held(io, Loopback(0));  // as the platform does
-  const std::string folder = testing::TempDir() + "tulipyoke_upgrade";
+  tcp::acceptor shared_listener(io, Loopback(0));  // as the platform holds it
+  const std::string folder = testing::TempDir() + "tulipyoke_hot_restart_pair";
   std::filesystem::create_directories(folder);
   const auto beside = [&](Config& config) {
-    config.accept_fd = ::dup(held.native_handle());
+    config.accept_fd = ::dup(shared_listener.native_handle());
     config.temporary = folder;
   };
   RunningServer older({server.port()}, 256, 1, beside);
@@ -66,16 +66,17 @@
  protected:
   using Local = asio::local::stream_protocol;
 
-  HotRestartBesideBarePeer() : held_(io_, Loopback(0)), server_([](const std::string&) { return Row("v"); }) {
+  HotRestartBesideBarePeer()
+      : shared_listener_(io_, Loopback(0)), server_([](const std::string&) { return Row("v"); }) {
     std::filesystem::create_directories(folder_);
   }
   ~HotRestartBesideBarePeer() override { std::filesystem::remove_all(folder_); }
   std::unique_ptr<RunningServer> Start() {
     return std::make_unique<RunningServer>(
         std::vector<std::uint16_t>{server_.port()}, 256, 1, [&](Config& config) {
-          config.accept_fd = ::dup(held_.native_handle());
+          config.accept_fd = ::dup(shared_listener_.native_handle());
           config.temporary = folder_;
-          config.settings.classes[0].deadline = 300'000;  // so that a stop is soon over
+          config.settings.classes[0].deadline = 300'000;  // so that a shutdown is soon over
         });
   }
   static bool Ready(RunningServer& router) {
@@ -117,7 +118,7 @@
   asio::io_context io_;
 
  private:
-  tcp::acceptor held_;
+  tcp::acceptor shared_listener_;
   ScriptedServer server_;
 };
 
