--- a/src/cli/browse_command.cpp
+++ b/src/cli/browse_command.cpp
@@ -2,6 +2,7 @@
 
 #include <asio.hpp>
 #include <exception>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <ostream>
 #include <stdexcept>
@@ -54,7 +55,7 @@
 class Browser {
  public:
   Browser(const BrowseOptions& options, const DirectoryConfig& config, std::ostream& out)
-      : options_(options), out_(out), start_(clock_.Now()), directory_(io_, clock_, config, Sink()) {}
+      : options_(options), out_(out), start_(clock_.Now()), directory_(io_, clock_, config, OnListing()) {}
 
   int Run() {
     const Micros end = start_ + static_cast<Micros>(options_.seconds * kMicrosPerSecond);
@@ -68,7 +69,7 @@
   }
 
  private:
-  net::Directory::Sink Sink() {
+  std::function<void(const Listing&)> OnListing() {
     return [this](const Listing& listing) { Show(listing); };
   }
   void Show(const Listing& listing) {
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -24,7 +24,7 @@
 constexpr Micros kOldestOrigin = 86'400'000'000;
 constexpr Micros kOriginBeforeStart = 600'000'000;
 
-ExchangeOptions DispatcherOptions(const Config& config, Micros now) {
+ExchangeOptions MakeDispatcherOptions(const Config& config, Micros now) {
   ExchangeOptions options{config.settings,        config.seed, config.zones, config.kinds,
                           config.connect_timeout, config.trace};
   options.settings.reports_are_floats = false;
@@ -33,11 +33,11 @@
   return options;
 }
 
-PoolOptions PoolOptionsOf(const Config& config) {
+PoolOptions MakePoolOptions(const Config& config) {
   return {config.connect_timeout, config.idle_close, QuotaFor(config, kWholeShare).server_connections};
 }
 
-FrontOptions ListenerOptions(const Config& config, std::function<void()> before_request) {
+FrontOptions MakeListenerOptions(const Config& config, std::function<void()> before_request) {
   return {ToEndpoint(config.listen), QuotaFor(config, kWholeShare).clients, config.accept_fd,
           std::move(before_request)};
 }
@@ -53,10 +53,10 @@
 Server::Server(const Config& config)
     : config_(config),
       signals_(io_, SIGHUP, SIGTERM, SIGINT),
-      dispatcher_(DispatcherOptions(config, clock_.Now())),
-      pool_(io_, clock_, dispatcher_, PoolOptionsOf(config)),
+      dispatcher_(MakeDispatcherOptions(config, clock_.Now())),
+      pool_(io_, clock_, dispatcher_, MakePoolOptions(config)),
       listener_(io_, clock_, dispatcher_, serving_state_,
-                ListenerOptions(config, [this] { hot_restart_.ReceivePending(); })),
+                MakeListenerOptions(config, [this] { hot_restart_.ReceivePending(); })),
       directory_(MakeDirectory()),
       registry_watch_(
           io_, [this](const Listing& listing) { OnRegistryListing(listing); }, RegistryAddress(config),
