--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -10,8 +10,8 @@
 
 #include "src/config/checked.hpp"
 #include "src/config/config.hpp"
+#include "src/discovery/dns_sd_discovery.hpp"
 #include "src/log/log.hpp"
-#include "src/net/directory.hpp"
 #include "src/net/node.hpp"
 
 namespace tulipyoke::cli {
@@ -84,7 +84,7 @@
     const DirectoryConfig config = ZonesOf(browse);
     const Micros start = clock.Now();
     bool told = false;
-    net::Directory directory(io, clock, config, [&](const Listing& listing) {
+    discovery::DnsSdDiscovery directory(io, clock, config, [&](const Listing& listing) {
       told = true;
       for (const ListedServer& server : listing.servers) {
         out << (clock.Now() - start) / 1000 << " ms: " << server.id << " at " << server.address << " "
@@ -94,7 +94,7 @@
     const Micros end = start + static_cast<Micros>(browse.seconds * 1e6);
     const auto all_told = [&] {
       for (const auto& zone : directory.Zones()) {
-        if (zone.browser.told == 0) return false;
+        if (zone.browser.accepted_lists == 0) return false;
       }
       return told;
     };
@@ -103,7 +103,7 @@
       io.run_one_until(clock.ToSteady(end));
     }
     clock.NewTurn();
-    out << net::ToText(directory, clock.Now());
+    out << discovery::ToText(directory, clock.Now());
     return all_told() ? 0 : 2;
   } catch (const std::exception& error) {
     out << error.what() << "\n";
--- a/src/config/directory_config.hpp
+++ b/src/config/directory_config.hpp
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "src/dnssd/browser.hpp"
-#include "src/dnssd/retries.hpp"
+#include "src/dnssd/stub_resolver.hpp"
+#include "src/dnssd/zone_browser.hpp"
 #include "src/exchange/listing.hpp"
 #include "src/membership/membership.hpp"
 #include "tulipyoke/router.hpp"
@@ -16,8 +16,8 @@
 namespace tulipyoke {
 
 struct DnsSource {
-  dnssd::ZoneOptions zone;
-  dnssd::RetryOptions retries;
+  dnssd::BrowserOptions zone;
+  dnssd::StubResolverOptions retries;
   std::vector<std::string> resolvers;  // addresses with ports
 };
 struct SourceConfig {
--- /dev/null
+++ b/src/discovery/dns_sd_discovery.cpp
@@ -0,0 +1,181 @@
+#include "src/discovery/dns_sd_discovery.hpp"
+
+#include <algorithm>
+#include <compare>
+#include <cstddef>
+#include <limits>
+#include <map>
+#include <utility>
+
+#include "src/log/log.hpp"
+#include "src/net/address.hpp"
+
+namespace tulipyoke::discovery {
+namespace {
+
+// Sockets for queries, over all zones: they come out of the descriptors reserved for the router itself.
+constexpr std::size_t kMaxSockets = 32;
+constexpr std::size_t kMinQueriesPerZone = 2;
+
+std::vector<std::string> SourceNames(const DirectoryConfig& config) {
+  std::vector<std::string> names;
+  for (const SourceConfig& source : config.sources) names.push_back(source.name);
+  return names;
+}
+
+bool IsDns(const SourceConfig& source) { return source.kind == SourceConfig::Kind::kDns; }
+
+dnssd::BrowserOptions BrowserOptionsOf(const DnsSource& source, std::size_t max_queries) {
+  dnssd::BrowserOptions options = source.zone;
+  options.max_concurrent_queries = std::min(options.max_concurrent_queries, max_queries);
+  return options;
+}
+
+// One attempt at one query.
+struct AttemptKey {
+  dnssd::QueryId query = 0;
+  int attempt = 0;
+  auto operator<=>(const AttemptKey&) const = default;
+};
+
+}  // namespace
+
+struct DnsSdDiscovery::Zone {
+  Zone(std::size_t index, const std::string& source_name, const DnsSource& source, std::size_t max_queries)
+      : source_index(index),
+        name(source_name),
+        browser(BrowserOptionsOf(source, max_queries)),
+        resolver(source.retries) {
+    for (const std::string& address : source.resolvers) endpoints.push_back(net::ToEndpoint(address));
+  }
+
+  std::size_t source_index;
+  std::string name;
+  dnssd::ZoneBrowser browser;
+  dnssd::StubResolver resolver;
+  std::vector<asio::ip::tcp::endpoint> endpoints;                      // by index of the resolver
+  std::map<AttemptKey, std::shared_ptr<DnsTransaction>> transactions;  // in flight
+};
+
+DnsSdDiscovery::DnsSdDiscovery(asio::io_context& io, net::LoopClock& clock, const DirectoryConfig& config,
+                               OnUpdate on_update)
+    : io_(io),
+      clock_(clock),
+      config_(config),
+      on_update_(std::move(on_update)),
+      membership_(config.membership, SourceNames(config)),
+      timer_(io) {
+  AddSources();
+  asio::post(io_, [this] { Pump(); });
+}
+
+DnsSdDiscovery::~DnsSdDiscovery() { Stop(); }
+
+void DnsSdDiscovery::AddSources() {
+  const std::vector<SourceConfig>& sources = config_.sources;
+  const auto zones = static_cast<std::size_t>(std::count_if(sources.begin(), sources.end(), IsDns));
+  for (std::size_t i = 0; i < sources.size(); ++i) {
+    const SourceConfig& source = sources[i];
+    if (source.kind == SourceConfig::Kind::kStatic) membership_.Heard(clock_.Now(), i, source.fixed);
+    if (!IsDns(source)) continue;
+    const std::size_t max_queries = std::max(kMinQueriesPerZone, kMaxSockets / zones);
+    zones_.push_back(std::make_unique<Zone>(i, source.name, source.dns, max_queries));
+  }
+}
+
+void DnsSdDiscovery::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+  for (const auto& zone : zones_) {
+    for (const auto& [key, transaction] : std::exchange(zone->transactions, {})) transaction->Cancel();
+  }
+}
+
+void DnsSdDiscovery::SeedRegistry(const Listing& known) {
+  membership_.Remember(clock_.Now(), static_cast<std::size_t>(config_.registry()), known);
+}
+
+void DnsSdDiscovery::OnRegistryUpdate(const Listing& listing) {
+  const int registry = config_.registry();
+  if (registry < 0) return;
+  membership_.Heard(clock_.Now(), static_cast<std::size_t>(registry), listing);
+  Pump();
+}
+
+void DnsSdDiscovery::Pump() {
+  if (stopped_) return;
+  for (const auto& zone : zones_) {
+    while (PumpZone(*zone)) {
+    }
+  }
+  membership_.Tick(clock_.Now());
+  if (const std::optional<Listing> listing = membership_.TakeListing()) on_update_(*listing);
+  ArmTimer();
+}
+
+void DnsSdDiscovery::ArmTimer() {
+  std::optional<Micros> due = membership_.NextDue();
+  for (const auto& zone : zones_) {
+    const Micros next = zone->browser.NextDue();
+    due = std::min(due.value_or(next), next);
+  }
+  if (!due || *due == std::numeric_limits<Micros>::max()) return;
+  timer_.expires_at(clock_.ToSteady(std::max(*due, clock_.Now() + 1)));
+  timer_.async_wait([this](std::error_code error) {
+    if (!error) Pump();
+  });
+}
+
+bool DnsSdDiscovery::PumpZone(Zone& zone) {
+  const Micros now = clock_.Now();
+  zone.browser.Tick(now);
+  bool progressed = false;
+  for (const dnssd::Query& query : zone.browser.TakeQueries()) {
+    zone.resolver.Submit(now, query);
+    progressed = true;
+  }
+  for (const dnssd::Transmission& transmission : zone.resolver.TakeTransmissions()) {
+    StartTransaction(zone, transmission);
+  }
+  for (const dnssd::QueryResult& result : zone.resolver.TakeResults()) {
+    zone.browser.OnResult(now, result);
+    progressed = true;
+  }
+  for (const std::size_t resolver : zone.browser.TakeStaleResolvers()) zone.resolver.MarkStale(now, resolver);
+  for (const dnssd::Warning& warning : zone.browser.TakeWarnings()) {
+    LogWarning(dnssd::EventName(warning.kind), "zone " + zone.name + ": " + warning.text,
+               {{"source", zone.name}, {"why", warning.text}});
+  }
+  if (const std::optional<Listing> listing = zone.browser.TakeListing()) {
+    membership_.Heard(now, zone.source_index, *listing);
+  }
+  return progressed;
+}
+
+void DnsSdDiscovery::StartTransaction(Zone& zone, const dnssd::Transmission& transmission) {
+  const AttemptKey key{transmission.query, transmission.attempt};
+  const auto transaction = std::make_shared<DnsTransaction>(
+      io_, transaction_counters_, transmission,
+      [this, &zone, key](std::vector<dnssd::Message> messages, std::optional<dnssd::QueryError> error) {
+        zone.transactions.erase(key);
+        if (error)
+          zone.resolver.OnFailure(clock_.Now(), key.query, key.attempt, *error);
+        else
+          zone.resolver.OnResponse(clock_.Now(), key.query, key.attempt, std::move(messages));
+        Pump();
+      });
+  zone.transactions[key] = transaction;
+  transaction->Start(zone.endpoints[transmission.resolver], clock_.ToSteady(transmission.deadline));
+}
+
+std::vector<DnsSdDiscovery::ZoneStatus> DnsSdDiscovery::Zones() const {
+  std::vector<ZoneStatus> statuses;
+  for (const auto& zone : zones_) {
+    const dnssd::BrowserOptions& options = zone->browser.options();
+    statuses.push_back({zone->name, options.service + "." + options.zone, zone->browser.serial(),
+                        zone->browser.counters(), zone->resolver.counters(), zone->browser.View()});
+  }
+  return statuses;
+}
+
+}  // namespace tulipyoke::discovery
--- /dev/null
+++ b/src/discovery/dns_sd_status.cpp
@@ -0,0 +1,54 @@
+// The text in which operators see the zones and the merged servers.
+#include <cstddef>
+#include <sstream>
+
+#include "src/discovery/dns_sd_discovery.hpp"
+
+namespace tulipyoke::discovery {
+namespace {
+
+constexpr Micros kMicrosPerSecond = 1'000'000;
+
+void WriteZone(std::ostream& out, const DnsSdDiscovery::ZoneStatus& zone) {
+  out << "zone " << zone.zone << " source=" << zone.source
+      << " serial=" << (zone.serial ? std::to_string(*zone.serial) : "unknown")
+      << " instances=" << zone.instances.size() << " looks=" << zone.browser.polls
+      << " told=" << zone.browser.accepted_lists << " failed=" << zone.browser.failed_queries
+      << " old_copies=" << zone.browser.stale_answers << " no_authority=" << zone.browser.non_authoritative
+      << " bad_records=" << zone.browser.rejected_records << " over=" << zone.browser.oversized_lists
+      << " transfers=" << zone.browser.transfers << " queries=" << zone.resolver.udp_queries
+      << " streams=" << zone.resolver.tcp_queries << " timeouts=" << zone.resolver.timeouts
+      << " switched=" << zone.resolver.failovers << "\n";
+  for (const dnssd::InstanceView& instance : zone.instances) {
+    if (!instance.fault) continue;
+    out << "  trouble " << instance.name << ": " << dnssd::ToText(*instance.fault) << "\n";
+  }
+}
+
+void WriteMembership(std::ostream& out, const membership::Membership& membership) {
+  const membership::Counters& c = membership.counters();
+  out << "membership servers=" << membership.size() << " vanished=" << c.vanished
+      << " returned=" << c.returned << " restarts=" << c.restarts << " moved=" << c.moved
+      << " disagreed=" << c.disagreed << " held_down=" << c.held_down << " admitted=" << c.admitted
+      << " over=" << c.over << "\n";
+}
+
+void WriteServer(std::ostream& out, const membership::ServerView& server, Micros now) {
+  out << "server " << server.listed.id << " at " << server.listed.address << " group=" << server.listed.group
+      << " site=" << server.listed.zone << " started=" << server.listed.started_unix_ms << " sources=";
+  for (std::size_t i = 0; i < server.sources.size(); ++i) out << (i ? "," : "") << server.sources[i];
+  out << " for=" << (now - server.since) / kMicrosPerSecond << "s: " << membership::ToText(server.reason)
+      << "\n";
+}
+
+}  // namespace
+
+std::string ToText(const DnsSdDiscovery& discovery, Micros now) {
+  std::ostringstream out;
+  for (const DnsSdDiscovery::ZoneStatus& zone : discovery.Zones()) WriteZone(out, zone);
+  WriteMembership(out, discovery.membership());
+  for (const membership::ServerView& server : discovery.membership().View()) WriteServer(out, server, now);
+  return out.str();
+}
+
+}  // namespace tulipyoke::discovery
--- a/src/dnssd/ldns_handles.hpp
+++ b/src/dnssd/ldns_handles.hpp
@@ -1,19 +1,21 @@
-// Owners of what ldns allocates.
+// Smart pointers for the objects that ldns allocates, and conversions of its types.
 #ifndef TULIPYOKE_SRC_DNSSD_LDNS_HANDLES_HPP_
 #define TULIPYOKE_SRC_DNSSD_LDNS_HANDLES_HPP_
 
 #include <ldns/ldns.h>
-// ldns makes these macros, which breaks standard headers behind it.
+// ldns defines these as macros, which breaks standard headers included after it.
 #undef bool
 #undef true
 #undef false
 
+#include <cstdint>
 #include <cstdlib>
 #include <memory>
 #include <string>
 
 namespace tulipyoke::dnssd {
 
+// Deletes an ldns object together with all that it owns.
 struct LdnsDelete {
   void operator()(ldns_pkt* packet) const { ldns_pkt_free(packet); }
   void operator()(ldns_rdf* data) const { ldns_rdf_deep_free(data); }
@@ -23,10 +25,11 @@
   void operator()(std::uint8_t* bytes) const { std::free(bytes); }
 };
 template <typename T>
-using Owned = std::unique_ptr<T, LdnsDelete>;
+using LdnsPtr = std::unique_ptr<T, LdnsDelete>;
 
-inline std::string TextOf(const ldns_rdf* data) {
-  const Owned<char> text(ldns_rdf2str(data));
+// The presentation form of a name, address or other record field; empty on failure.
+inline std::string ToPresentation(const ldns_rdf* data) {
+  const LdnsPtr<char> text(ldns_rdf2str(data));
   return text ? text.get() : "";
 }
 
--- a/src/dnssd/message.hpp
+++ b/src/dnssd/message.hpp
@@ -1,5 +1,5 @@
-// DNS messages as the browser of services sees them (RFC 1035, 2782, 6763; EDNS of RFC 6891). The bytes are
-// read and written by ldns; here they become plain values. Pure functions over bytes, no I/O.
+// DNS messages as plain values (RFC 1035, 2782, 6763; EDNS of RFC 6891). ldns parses and serializes the
+// bytes. Pure functions, no I/O.
 #ifndef TULIPYOKE_SRC_DNSSD_MESSAGE_HPP_
 #define TULIPYOKE_SRC_DNSSD_MESSAGE_HPP_
 
@@ -14,9 +14,10 @@
 
 namespace tulipyoke::dnssd {
 
-// Names are in presentation form, lower case, with the dot at their end: two that differ in case are one.
-using Name = std::string;
+// A name in presentation form, in lower case and with the trailing dot, so that equal names compare equal.
+using DomainName = std::string;
 
+// The record types that the browser handles; the values are those of the wire format.
 enum class RecordType : std::uint16_t {
   kA = 1,
   kSoa = 6,
@@ -30,21 +31,25 @@
 };
 const char* ToText(RecordType type);
 
-struct PointerData {
-  Name target;
-  Name parent;        // the target less its first label
-  std::string label;  // that label's bytes as published: UTF-8, dots and all (RFC 6763, 4.1.1)
-  auto operator<=>(const PointerData&) const = default;
+// The data of a PTR record of DNS-SD.
+struct PtrData {
+  DomainName target;
+  DomainName parent;  // the target less its first label
+  std::string label;  // the bytes of that label as published: UTF-8, dots included (RFC 6763, 4.1.1)
+  auto operator<=>(const PtrData&) const = default;
 };
-struct ServiceData {
-  std::uint16_t priority = 0, weight = 0, port = 0;
-  Name target;
-  auto operator<=>(const ServiceData&) const = default;
+struct SrvData {
+  std::uint16_t priority = 0;
+  std::uint16_t weight = 0;
+  std::uint16_t port = 0;
+  DomainName target;
+  auto operator<=>(const SrvData&) const = default;
 };
-struct TextData {
+struct TxtData {
   std::vector<std::string> strings;
-  auto operator<=>(const TextData&) const = default;
+  auto operator<=>(const TxtData&) const = default;
 };
+// Of A and AAAA records.
 struct AddressData {
   std::string address;  // as text
   auto operator<=>(const AddressData&) const = default;
@@ -59,14 +64,14 @@
 };
 
 struct Record {
-  Name name;
-  RecordType type = RecordType::kOther;
-  std::uint32_t ttl = 0;  // seconds
-  std::variant<OtherData, PointerData, ServiceData, TextData, AddressData, SoaData> data;
+  DomainName name;
+  RecordType type = RecordType::kOther;  // also of any record that is not of class IN
+  std::uint32_t ttl = 0;                 // seconds
+  std::variant<OtherData, PtrData, SrvData, TxtData, AddressData, SoaData> data;
 };
 
 struct Question {
-  Name name;
+  DomainName name;
   RecordType type = RecordType::kOther;
   auto operator<=>(const Question&) const = default;
 };
@@ -75,31 +80,43 @@
 
 struct Message {
   std::uint16_t id = 0;
-  bool response = false, truncated = false, authoritative = false;
-  int rcode = 0;                     // as Rcode, or another that is not told apart
-  std::optional<Question> question;  // none: not just one, or one that is not of the class IN
-  std::vector<Record> answers, authority, additional;
+  bool response = false;
+  bool truncated = false;
+  bool authoritative = false;
+  int rcode = 0;                     // an Rcode, or another value of RFC 6895
+  std::optional<Question> question;  // none: there is not exactly one, or it is not of class IN
+  std::vector<Record> answers;
+  std::vector<Record> authority;
+  std::vector<Record> additional;
 };
 
-// The payload that is offered for answers over UDP, in bytes (RFC 6891, 6.2.5): no fragments on usual paths.
-inline constexpr std::uint16_t kUdpPayload = 1232;
-// A name that no query can carry, or whose text is none.
-bool IsName(std::string_view text);
-// Lower case, with a dot at the end; empty where it is no name.
-Name Canonical(std::string_view text);
-
-// One question without recursion wanted being told apart: both kinds of servers answer it. `serial` is the
-// one held, for an IXFR (RFC 1995, 3). Throws std::invalid_argument where the name is none.
-std::string WriteQuery(std::uint16_t id, const Question& question, std::uint32_t serial = 0);
-
-// Nothing where the bytes are no whole message: counts that lie, loops of compression, cut records. The cost
-// is bounded: see `kMostHops`.
-std::optional<Message> ReadMessage(std::string_view bytes);
-// Compression pointers followed in a message at most, over all its names; a real one has a few a record.
-inline constexpr std::size_t kMostHops = 40000;
-
-// RFC 1982, 3.2: whether serial `a` comes before `b`. Undefined distances count as neither.
-bool SerialBefore(std::uint32_t a, std::uint32_t b);
+// The UDP payload size offered by EDNS, in bytes (RFC 6891, 6.2.5): not fragmented on usual paths.
+inline constexpr std::uint16_t kUdpPayloadBytes = 1232;
+// The compression pointers followed in one message at most, over all its names; a real one has a few a
+// record.
+inline constexpr std::size_t kMaxCompressionHops = 40000;
+
+// Whether a query can be made for this name.
+bool IsValidName(std::string_view text);
+// In lower case with a trailing dot; empty where the text is no valid name.
+DomainName CanonicalName(std::string_view text);
+
+// The bytes of a query. `serial` is that of the zone copy held, for an IXFR (RFC 1995, 3). Recursion is
+// desired: resolvers need it and authoritative servers ignore it. Throws std::invalid_argument for an invalid
+// name.
+std::string EncodeQuery(std::uint16_t id, const Question& question,
+                        std::optional<std::uint32_t> serial = std::nullopt);
+
+// None where the bytes are no valid message: wrong counts, compression loops, truncated records. The cost is
+// bounded, see `kMaxCompressionHops`.
+std::optional<Message> ParseMessage(std::string_view bytes);
+
+// Serial number arithmetic (RFC 1982, 3.2): whether `left` comes before `right`. False for the distance that
+// the RFC leaves undefined.
+bool SerialBefore(std::uint32_t left, std::uint32_t right);
+
+// None where the record is no SOA.
+std::optional<std::uint32_t> SoaSerial(const Record& record);
 
 }  // namespace tulipyoke::dnssd
 
--- a/src/dnssd/zone_copy.hpp
+++ b/src/dnssd/zone_copy.hpp
@@ -1,4 +1,5 @@
-// A copy of one zone, kept by transfers: whole (RFC 5936) or as differences between serials (RFC 1995).
+// A copy of one zone, kept up to date by transfers: complete ones (AXFR, RFC 5936) and differences between
+// serials (IXFR, RFC 1995). No I/O.
 #ifndef TULIPYOKE_SRC_DNSSD_ZONE_COPY_HPP_
 #define TULIPYOKE_SRC_DNSSD_ZONE_COPY_HPP_
 
@@ -13,39 +14,34 @@
 
 namespace tulipyoke::dnssd {
 
-// Whether the answers of these messages are a whole transfer: it ends with the SOA that it began with, and an
-// incremental one names that SOA once before its last addition. False: more must come. Bounded by the caller.
-class TransferEnd {
- public:
-  // `held`: the serial that an incremental one was asked from; nothing: a whole one was asked for.
-  explicit TransferEnd(std::optional<std::uint32_t> held) : held_(held) {}
-  bool Feed(const Message& message);
-
- private:
-  std::optional<std::uint32_t> held_;
-  std::size_t records_ = 0, ends_ = 0;
-  std::optional<std::uint32_t> serial_;
-  bool incremental_ = false;
-};
-
 class ZoneCopy {
  public:
-  // The names and types whose records changed; nothing where the records are no transfer that fits the copy:
-  // the copy is then as before. `most` bounds the records held.
-  std::optional<std::set<Question>> Apply(const std::vector<Record>& records, std::size_t most);
+  // Applies the answer records of one transfer, at most `max_records` in the copy. Returns the names and
+  // types whose records changed. None: the records are no transfer that fits the copy, which is then
+  // unchanged.
+  std::optional<std::set<Question>> Apply(const std::vector<Record>& records, std::size_t max_records);
+  // The records of one name and type; empty where there are none.
   const std::vector<Record>& Get(const Question& question) const;
+  void Clear() { *this = ZoneCopy(); }
+
   bool empty() const { return !serial_; }
-  std::uint32_t serial() const { return serial_.value_or(0); }
+  // None: the copy is empty.
+  std::optional<std::uint32_t> serial() const { return serial_; }
+  // The number of records.
   std::size_t size() const { return size_; }
-  void Clear() { *this = ZoneCopy(); }
 
  private:
-  using Sets = std::map<Question, std::vector<Record>>;
-  std::optional<std::set<Question>> Replace(const std::vector<Record>& records, std::size_t most);
-  std::optional<std::set<Question>> Difference(const std::vector<Record>& records, std::size_t most);
+  using RecordSets = std::map<Question, std::vector<Record>>;
+
+  std::optional<std::set<Question>> ApplyComplete(const std::vector<Record>& records,
+                                                  std::size_t max_records);
+  std::optional<std::set<Question>> ApplyDifferences(const std::vector<Record>& records,
+                                                     std::size_t max_records);
+  std::set<Question> ChangesTo(const RecordSets& sets) const;
+  std::set<Question> Merge(RecordSets sets);
 
   std::optional<std::uint32_t> serial_;
-  Sets sets_;
+  RecordSets sets_;
   std::size_t size_ = 0;
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -120,7 +120,7 @@
       directory_(MakeDirectory()),
       discovery_(
           io_, [this](const Listing& listing) { HeardRegistry(listing); }, WatchedAddress(config),
-          config.known.version, limits::ListPace(config.settings, config.seed)),
+          config.known.version, discovery::PollBackoff(config.settings, config.seed)),
       handover_(io_, config.accept_fd < 0 ? "" : config.temporary, config.name, config.seed,
                 HandoverEvents()),
       due_timer_(io_),
@@ -131,7 +131,7 @@
       stop_plan_(PlanStop(config.settings)) {
   signals_.add(SIGUSR1);
   exchange_.Start(clock_.Now(), config.known);
-  if (directory_ && !config.known.servers.empty()) directory_->Remember(config.known);
+  if (directory_ && !config.known.servers.empty()) directory_->SeedRegistry(config.known);
   if (!config.operators.empty()) {
     door_.emplace(
         io_, ToEndpoint(config.operators),
@@ -168,16 +168,16 @@
           {{"name", config.name}, {"address", address}, {"servers", static_cast<std::int64_t>(known)}});
 }
 
-std::unique_ptr<Directory> Node::MakeDirectory() {
+std::unique_ptr<discovery::DnsSdDiscovery> Node::MakeDirectory() {
   if (!config_.directory.on()) return nullptr;
-  return std::make_unique<Directory>(io_, clock_, config_.directory, [this](const Listing& listing) {
-    exchange_.Heard(clock_.Now(), listing);
-  });
+  return std::make_unique<discovery::DnsSdDiscovery>(
+      io_, clock_, config_.directory,
+      [this](const Listing& listing) { exchange_.Heard(clock_.Now(), listing); });
 }
 
 void Node::HeardRegistry(const Listing& listing) {
   if (directory_)
-    directory_->HeardRegistry(listing);
+    directory_->OnRegistryUpdate(listing);
   else
     exchange_.Heard(clock_.Now(), listing);
 }
@@ -392,7 +392,7 @@
   };
   const FrontCounters& f = front_.counters();
   const PoolCounters& p = pool_.counters();
-  const DiscoveryCounters& d = discovery_.counters();
+  const discovery::RegistryWatchCounters& d = discovery_.counters();
   LogInfo("figures", "figures: " + ToText(exchange_.FiguresAt(clock_.Now()), ' '));
   LogInfo("requests", "requests: " + ToText(exchange_.counters()));
   LogInfo("clients", "clients:" + text("open", front_.clients()) + text("accepted", f.accepted) +
@@ -414,19 +414,21 @@
                               text("restarts", m.restarts) + text("moved", m.moved) +
                               text("disagreed", m.disagreed) + text("held_down", m.held_down) +
                               text("admitted", m.admitted) + text("over", m.over));
-    for (const Directory::ZoneView& zone : directory_->Zones()) {
-      LogInfo("zone", "zone " + zone.source + ":" + text("instances", zone.instances.size()) +
-                          text("looks", zone.browser.looks) + text("told", zone.browser.told) +
-                          text("failed", zone.browser.failed) + text("old_copies", zone.browser.old_copies) +
-                          text("no_authority", zone.browser.no_authority) +
-                          text("bad_records", zone.browser.bad_records) + text("over", zone.browser.over) +
-                          text("transfers", zone.browser.transfers) + text("queries", zone.retries.sent) +
-                          text("streams", zone.retries.streams) + text("timeouts", zone.retries.timeouts) +
-                          text("switched", zone.retries.switched));
+    for (const discovery::DnsSdDiscovery::ZoneStatus& zone : directory_->Zones()) {
+      LogInfo("zone",
+              "zone " + zone.source + ":" + text("instances", zone.instances.size()) +
+                  text("looks", zone.browser.polls) + text("told", zone.browser.accepted_lists) +
+                  text("failed", zone.browser.failed_queries) +
+                  text("old_copies", zone.browser.stale_answers) +
+                  text("no_authority", zone.browser.non_authoritative) +
+                  text("bad_records", zone.browser.rejected_records) +
+                  text("over", zone.browser.oversized_lists) + text("transfers", zone.browser.transfers) +
+                  text("queries", zone.resolver.udp_queries) + text("streams", zone.resolver.tcp_queries) +
+                  text("timeouts", zone.resolver.timeouts) + text("switched", zone.resolver.failovers));
     }
   }
-  LogInfo("discovery", "discovery:" + text("connects", d.connects) + text("lost", d.lost) +
-                           text("bad_lines", d.bad_lines));
+  LogInfo("discovery", "discovery:" + text("connects", d.connects) + text("lost", d.disconnects) +
+                           text("bad_lines", d.invalid_values));
 }
 
 }  // namespace tulipyoke::net
--- a/src/net/node.hpp
+++ b/src/net/node.hpp
@@ -9,11 +9,11 @@
 #include <string>
 
 #include "src/config/config.hpp"
+#include "src/discovery/dns_sd_discovery.hpp"
+#include "src/discovery/registry_watch.hpp"
 #include "src/exchange/exchange.hpp"
 #include "src/net/alarm.hpp"
 #include "src/net/clock.hpp"
-#include "src/net/directory.hpp"
-#include "src/net/discovery.hpp"
 #include "src/net/door.hpp"
 #include "src/net/front.hpp"
 #include "src/net/handover.hpp"
@@ -43,7 +43,7 @@
   void CarryOut();
   void EndTurn();
   void Carry(const Command& command);
-  std::unique_ptr<Directory> MakeDirectory();
+  std::unique_ptr<discovery::DnsSdDiscovery> MakeDirectory();
   void HeardRegistry(const Listing& listing);
   void AwaitSignal();
   void Reload();
@@ -70,8 +70,8 @@
   Service service_;
   ServerPool pool_;
   ClientFront front_;
-  std::unique_ptr<Directory> directory_;  // none: the registry is the only source
-  DiscoveryWatch discovery_;
+  std::unique_ptr<discovery::DnsSdDiscovery> directory_;  // none: the registry is the only source
+  discovery::RegistryWatch discovery_;
   std::optional<OperatorDoor> door_;
   Handover handover_;
   asio::steady_timer due_timer_, stop_timer_;
--- a/standins/dns_responder.hpp
+++ b/standins/dns_responder.hpp
@@ -1,9 +1,11 @@
-// A DNS-SD responder on loopback: one zone over UDP and TCP, driven by a script of timed steps.
+// A DNS name server on loopback: one DNS-SD zone over UDP and TCP. A script of timed steps may drive it.
 #ifndef TULIPYOKE_STANDINS_DNS_RESPONDER_HPP_
 #define TULIPYOKE_STANDINS_DNS_RESPONDER_HPP_
 
 #include <array>
 #include <asio.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <string>
@@ -16,13 +18,15 @@
 
 class DnsResponder {
  public:
+  static constexpr std::size_t kMaxDatagramBytes = 65536;
+
   DnsResponder(Loop& loop, const std::string& zone, const std::string& service = "_readings._tcp");
   ~DnsResponder();
 
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
-  // What the zone has, from any thread.
+  // The operations of the zone, from any thread.
   void Publish(const std::vector<Published>& servers);
   void Withdraw(const std::vector<std::string>& labels);
   void WithdrawAll();
@@ -31,25 +35,27 @@
   void SetSerial(std::uint32_t serial);
   void SetFault(DnsFault fault);
   void SetAdditional(bool on);
-  std::vector<DnsAsked> asked();
+  std::vector<ReceivedQuery> queries();
   std::uint32_t serial();
-  // The words publish, withdraw, silent, servfail and well.
+  // Adds the script commands publish, withdraw, silent, servfail and well.
   void Register(Script& script);
 
  private:
-  struct Stream;
+  struct Connection;
   void ReadDatagram();
   void Accept();
-  void ReadStream(const std::shared_ptr<Stream>& stream);
+  void ReadLength(const std::shared_ptr<Connection>& connection);
+  void ReadQuery(const std::shared_ptr<Connection>& connection);
+  void SendAnswer(const std::shared_ptr<Connection>& connection);
 
   Loop& loop_;
   DnsZone zone_;
-  asio::ip::udp::socket datagrams_;
+  asio::ip::udp::socket udp_socket_;
   asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_ = 0;
-  std::array<char, 65536> in_{};
-  asio::ip::udp::endpoint from_;
-  std::set<std::shared_ptr<Stream>> streams_;
+  std::array<char, kMaxDatagramBytes> datagram_{};
+  asio::ip::udp::endpoint sender_;
+  std::set<std::shared_ptr<Connection>> connections_;
 };
 
 }  // namespace tulipyoke::standins
