--- a/src/discovery/registry_watch.hpp
+++ b/src/discovery/registry_watch.hpp
@@ -32,6 +32,7 @@
   // watch. Throws std::runtime_error where the address is invalid.
   RegistryWatch(asio::io_context& io, OnUpdate on_update, const std::string& address, std::uint64_t version,
                 const PollBackoff& backoff);
+  ~RegistryWatch() = default;
   RegistryWatch(const RegistryWatch&) = delete;
   RegistryWatch& operator=(const RegistryWatch&) = delete;
 
--- a/src/discovery/watch_response_parser.hpp
+++ b/src/discovery/watch_response_parser.hpp
@@ -17,6 +17,7 @@
 class WatchResponseParser {
  public:
   WatchResponseParser();
+  ~WatchResponseParser() = default;
   WatchResponseParser(const WatchResponseParser&) = delete;
   WatchResponseParser& operator=(const WatchResponseParser&) = delete;
 
--- a/src/dnssd/browser_options.hpp
+++ b/src/dnssd/browser_options.hpp
@@ -29,7 +29,7 @@
   Micros poll_interval = 500'000;
   double refresh_fraction = 0.8;       // of a record's TTL, after which it is queried again
   Micros min_refresh = 1'000'000;      // bounds of that time
-  Micros max_refresh = 3'600'000'000;  // (one hour)
+  Micros max_refresh = 3'600'000'000;  // one hour
   Micros retry_interval = 1'000'000;   // after a query without a usable answer
   std::size_t max_instances = 12'000;
   std::size_t max_concurrent_queries = 24;
--- a/src/dnssd/ldns_handles.hpp
+++ b/src/dnssd/ldns_handles.hpp
@@ -21,8 +21,10 @@
   void operator()(ldns_rdf* data) const { ldns_rdf_deep_free(data); }
   void operator()(ldns_rr* record) const { ldns_rr_free(record); }
   void operator()(ldns_rr_list* records) const { ldns_rr_list_deep_free(records); }
+  // NOLINTBEGIN(cppcoreguidelines-no-malloc): ldns allocates these with malloc.
   void operator()(char* text) const { std::free(text); }
   void operator()(std::uint8_t* bytes) const { std::free(bytes); }
+  // NOLINTEND(cppcoreguidelines-no-malloc)
 };
 template <typename T>
 using LdnsPtr = std::unique_ptr<T, LdnsDelete>;
--- a/src/dnssd/service_cache.cpp
+++ b/src/dnssd/service_cache.cpp
@@ -125,6 +125,7 @@
 ServiceCache::StoreResult ServiceCache::StoreSrv(const DomainName& name, const std::vector<Record>& records) {
   Instance& instance = instances_.at(name);
   std::vector<SrvData> services;
+  services.reserve(records.size());
   for (const Record& record : records) services.push_back(std::get<SrvData>(record.data));
   std::optional<SrvData> service = SelectService(services);
   if (service && service->target == kNoServiceTarget) service.reset();
--- a/src/dnssd/zone_browser.hpp
+++ b/src/dnssd/zone_browser.hpp
@@ -53,6 +53,7 @@
 class ZoneBrowser {
  public:
   explicit ZoneBrowser(const BrowserOptions& options);
+  ~ZoneBrowser() = default;
   ZoneBrowser(const ZoneBrowser&) = delete;
   ZoneBrowser& operator=(const ZoneBrowser&) = delete;
 
--- a/src/dnssd/zone_copy.cpp
+++ b/src/dnssd/zone_copy.cpp
@@ -87,7 +87,7 @@
   std::size_t size_;
   std::size_t max_records_;
   const std::vector<Record>& records_;
-  std::size_t position_ = 1;  // behind the SOA that opens the transfer
+  std::size_t position_ = 1;  // after the SOA that opens the transfer
 };
 
 }  // namespace
@@ -151,7 +151,7 @@
   return Merge(reader.TakeSets());
 }
 
-std::set<Question> ZoneCopy::Merge(RecordSets sets) {
+std::set<Question> ZoneCopy::Merge(RecordSets&& sets) {
   std::set<Question> changed;
   for (auto& [key, set] : sets) {
     changed.insert(key);
@@ -164,9 +164,9 @@
 }
 
 const std::vector<Record>& ZoneCopy::Get(const Question& question) const {
-  static const std::vector<Record> none;
+  static const std::vector<Record> kNoRecords;
   const auto it = sets_.find(question);
-  return it == sets_.end() ? none : it->second;
+  return it == sets_.end() ? kNoRecords : it->second;
 }
 
 }  // namespace tulipyoke::dnssd
--- a/src/dnssd/zone_copy.hpp
+++ b/src/dnssd/zone_copy.hpp
@@ -37,8 +37,10 @@
                                                   std::size_t max_records);
   std::optional<std::set<Question>> ApplyDifferences(const std::vector<Record>& records,
                                                      std::size_t max_records);
+  // The record sets in which `sets` and the copy differ.
   std::set<Question> ChangesTo(const RecordSets& sets) const;
-  std::set<Question> Merge(RecordSets sets);
+  // Replaces the record sets given; empty ones are removed. Returns their names and types.
+  std::set<Question> Merge(RecordSets&& sets);
 
   std::optional<std::uint32_t> serial_;
   RecordSets sets_;
--- a/standins/dns_responder.hpp
+++ b/standins/dns_responder.hpp
@@ -22,6 +22,8 @@
 
   DnsResponder(Loop& loop, const std::string& zone, const std::string& service = "_readings._tcp");
   ~DnsResponder();
+  DnsResponder(const DnsResponder&) = delete;
+  DnsResponder& operator=(const DnsResponder&) = delete;
 
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
--- a/standins/dns_zone.hpp
+++ b/standins/dns_zone.hpp
@@ -72,8 +72,8 @@
   std::uint32_t serial() const { return serial_; }
   const std::vector<ReceivedQuery>& queries() const { return queries_; }
 
-  // The messages of the response, several for a transfer; none: there is no response.
-  std::vector<std::string> Answer(Micros now, std::string_view query, bool tcp);
+  // The messages of the response to a query, several for a transfer; none: there is no response.
+  std::vector<std::string> Answer(Micros now, std::string_view bytes, bool tcp);
 
  private:
   // Records in presentation form, by lower-case name and type with a space between.
