--- a/src/exchange/listing.hpp
+++ b/src/dispatch/endpoint_list.hpp
@@ -1,6 +1,6 @@
-// What discovery tells of the servers, whichever way it was asked.
-#ifndef TULIPYOKE_SRC_EXCHANGE_LISTING_HPP_
-#define TULIPYOKE_SRC_EXCHANGE_LISTING_HPP_
+// What service discovery reports about the servers, independent of the kind of discovery.
+#ifndef TULIPYOKE_SRC_DISPATCH_ENDPOINT_LIST_HPP_
+#define TULIPYOKE_SRC_DISPATCH_ENDPOINT_LIST_HPP_
 
 #include <cstdint>
 #include <string>
@@ -16,17 +16,17 @@
   ServerState state = ServerState::kGone;
   double capacity_hint = 1;
   std::int64_t started_unix_ms = 0;  // 0: long ago
-  bool leads = false;
+  bool leads = false;                // listed as the primary of its group
 
   bool operator==(const ListedServer&) const = default;
 };
 
-struct Listing {
+struct EndpointList {
   std::uint64_t version = 0;
-  bool complete = false;  // the whole list, else only what changed
+  bool complete = false;  // a snapshot of all servers; otherwise only the changed ones
   std::vector<ListedServer> servers;
 };
 
 }  // namespace tulipyoke
 
-#endif  // TULIPYOKE_SRC_EXCHANGE_LISTING_HPP_
+#endif  // TULIPYOKE_SRC_DISPATCH_ENDPOINT_LIST_HPP_
--- a/src/net/arrival_times.hpp
+++ b/src/listener/arrival_times.hpp
@@ -1,6 +1,6 @@
 // When the bytes of a stream came that have not been handled yet.
-#ifndef TULIPYOKE_SRC_NET_ARRIVAL_TIMES_HPP_
-#define TULIPYOKE_SRC_NET_ARRIVAL_TIMES_HPP_
+#ifndef TULIPYOKE_SRC_LISTENER_ARRIVAL_TIMES_HPP_
+#define TULIPYOKE_SRC_LISTENER_ARRIVAL_TIMES_HPP_
 
 #include <cstddef>
 #include <cstdint>
@@ -45,4 +45,4 @@
 
 }  // namespace tulipyoke::net
 
-#endif  // TULIPYOKE_SRC_NET_ARRIVAL_TIMES_HPP_
+#endif  // TULIPYOKE_SRC_LISTENER_ARRIVAL_TIMES_HPP_
--- a/src/net/front.cpp
+++ b/src/listener/client_listener.cpp
@@ -1,4 +1,4 @@
-#include "src/net/front.hpp"
+#include "src/listener/client_listener.hpp"
 
 #include <fcntl.h>
 #include <poll.h>
@@ -14,8 +14,8 @@
 #include <tuple>
 #include <utility>
 
+#include "src/listener/arrival_times.hpp"
 #include "src/log/log.hpp"
-#include "src/net/arrival_times.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -82,7 +82,7 @@
 
 std::string ReadyMessage() {
   std::string message;
-  pg::AppendReady(message);
+  pg::AppendReadyForQuery(message);
   return message;
 }
 std::string EmptyMessage() {
@@ -104,11 +104,11 @@
 }  // namespace
 
 // The answer to one message or to several in a row, in its place in the order in which it is to be sent.
-struct ClientFront::Reply {
-  RequestId request = 0;               // that is still open; 0: the answer is complete
-  std::string open_id;                 // what the client calls the request
-  std::uint64_t written_key = 0;       // the session that it writes; 0: none
-  std::shared_ptr<Transfer> transfer;  // the value that is being passed on
+struct ClientListener::Reply {
+  RequestId request = 0;                     // that is still open; 0: the answer is complete
+  std::string open_id;                       // what the client calls the request
+  std::uint64_t written_key = 0;             // the session that it writes; 0: none
+  std::shared_ptr<ResponseStream> transfer;  // the value that is being passed on
   bool transfer_begun = false;
   bool ends_connection = false;  // nothing follows it
   std::size_t carried = 0;       // bytes of its statement
@@ -117,11 +117,11 @@
   bool open() const { return request != 0; }
 };
 
-struct ClientFront::Client {
+struct ClientListener::Client {
   explicit Client(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
 
   asio::ip::tcp::socket socket;
-  pg::MessageReader reader{true, pg::kLargestStatement};
+  pg::MessageReader reader{true, pg::kMaxStatementSize};
   StatementBudget::Room room;  // for the large statement that is being read
   bool awaits_room = false;
   bool started = false, reading = false, writing = false, skipping = false;
@@ -156,12 +156,12 @@
   }
 };
 
-ClientFront::ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const Service& service,
-                         const FrontOptions& options)
+ClientListener::ClientListener(asio::io_context& io, LoopClock& clock, Dispatcher& dispatcher,
+                               const ServingState& serving_state, const ListenerOptions& options)
     : io_(io),
       clock_(clock),
-      exchange_(exchange),
-      service_(service),
+      dispatcher_(dispatcher),
+      serving_state_(serving_state),
       options_(options),
       acceptor_(io),
       accept_pause_(io),
@@ -189,7 +189,7 @@
     throw std::runtime_error("cannot listen on port " + std::to_string(options.listen.port()) + " of " +
                              options.listen.address().to_string() + ": " + error.code().message());
   }
-  const Settings& settings = exchange.settings();
+  const Settings& settings = dispatcher.settings();
   for (const ClassSettings& c : settings.classes)
     classes_.try_emplace(c.name, static_cast<int>(classes_.size()));
   for (const TenantSettings& t : settings.tenants)
@@ -198,22 +198,22 @@
   LookForDepartures();
 }
 
-ClientFront::~ClientFront() = default;
+ClientListener::~ClientListener() = default;
 
-void ClientFront::StartAccepting() {
+void ClientListener::StartAccepting() {
   if (accepting_) return;
   accepting_ = true;
   Accept();
 }
 
-void ClientFront::PauseAccepting() {
+void ClientListener::PauseAccepting() {
   accepting_ = false;
   std::error_code ignored;
-  accept_pause_.Off();
+  accept_pause_.Cancel();
   acceptor_.cancel(ignored);
 }
 
-void ClientFront::Resize(const FrontLimits& limits) {
+void ClientListener::Resize(const ListenerLimits& limits) {
   options_.limits = limits;
   budget_.Resize(limits.large_statements);
   // Between two handlers: what another process tells is read in the middle of a request, whose client looks
@@ -224,7 +224,7 @@
   });
 }
 
-void ClientFront::Accept() {
+void ClientListener::Accept() {
   acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
     if (!error) Admit(std::move(socket));
     if (!accepting_ || error == asio::error::operation_aborted || !acceptor_.is_open()) return;
@@ -235,11 +235,11 @@
     if (!gone_already && !ShedIdle()) {
       LogWarning("accept_failed", "cannot accept a client: " + error.message(), {{"why", error.message()}});
     }
-    accept_pause_.In(kAcceptPause, [this] { Accept(); });
+    accept_pause_.ExpireAfter(kAcceptPause, [this] { Accept(); });
   });
 }
 
-void ClientFront::Admit(asio::ip::tcp::socket socket) {
+void ClientListener::Admit(asio::ip::tcp::socket socket) {
   ++counters_.accepted;
   std::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -266,7 +266,7 @@
   Read(client);
 }
 
-void ClientFront::Read(const ClientPtr& client) {
+void ClientListener::Read(const ClientPtr& client) {
   if (client->reading || client->closed) return;
   client->reading = true;
   client->socket.async_read_some(asio::buffer(client->in),
@@ -288,7 +288,7 @@
                                  });
 }
 
-bool ClientFront::MayTakeMore(const Client& client) const {
+bool ClientListener::MayTakeMore(const Client& client) const {
   if (client.ending || client.closed || client.last_words || client.unsent() >= kMostUnsent) return false;
   if (!client.waits()) return true;
   // Beside its first request it may have further ones, as long as that leaves enough for everybody else.
@@ -297,30 +297,26 @@
          kPipelinedShare * asking_.size() < options_.limits.most_open;
 }
 
-void ClientFront::Process(const ClientPtr& client) {
+void ClientListener::Process(const ClientPtr& client) {
   if (client->queued || client->closed) return;
   Flush(client);
-  try {
-    for (int handled = 0; MayTakeMore(*client); ++handled) {
-      if (handled == kMessagesATurn) {
-        ProcessLater(client);
-        break;
-      }
-      const std::size_t before = client->reader.buffered();
-      const std::optional<pg::Message> message = client->reader.Next();
-      if (!message) break;
-      client->arrived = client->arrivals.Take(before - client->reader.buffered());
-      client->message_since = clock_.Now();
-      if (message->type == '\0' && !client->started) {
-        OnStartup(client, message->body);
-      } else {
-        OnMessage(client, message->type, message->body);
-      }
+  for (int handled = 0; MayTakeMore(*client); ++handled) {
+    if (handled == kMessagesATurn) {
+      ProcessLater(client);
+      break;
+    }
+    const std::size_t before = client->reader.buffered();
+    const std::optional<pg::Message> message = client->reader.Next();
+    if (!message) break;
+    client->arrived = client->arrivals.Take(before - client->reader.buffered());
+    client->message_since = clock_.Now();
+    if (message->type == '\0' && !client->started) {
+      OnStartup(client, message->body);
+    } else {
+      OnMessage(client, message->type, message->body);
     }
-  } catch (const pg::ProtocolError& error) {
-    ++counters_.malformed;
-    EndWith(client, "08P01", error.what());
   }
+  if (const std::optional<pg::ProtocolError> error = client->reader.error()) OnProtocolError(client, *error);
   if (client->closed) return;
   const bool held_back = client->unsent() >= kMostUnsent;
   const bool has_room = MakeRoom(client);
@@ -333,7 +329,7 @@
     EndWith(client, "53300", "too much is waiting to be read");
   }
   // Nothing but its answer stands before its close, so that no next request crosses it.
-  if (service_.leaving() && client->asked && Idle(*client)) return Finish(client);
+  if (serving_state_.draining() && client->asked && Idle(*client)) return Finish(client);
   Write(client);
   if (client->closed) return;
   // What it was not asked for while answers were unsent.
@@ -344,7 +340,7 @@
   if (!held_up || (!client->waits() && client->unsent() < kMostUnsent)) Read(client);
 }
 
-void ClientFront::Respond(Client& client, std::string_view bytes) {
+void ClientListener::Respond(Client& client, std::string_view bytes) {
   if (!client.waits()) {
     client.out += bytes;
     return;
@@ -354,24 +350,24 @@
   Retain(client, bytes.size());
 }
 
-ClientFront::Reply& ClientFront::AddReply(Client& client) {
+ClientListener::Reply& ClientListener::AddReply(Client& client) {
   Retain(client, sizeof(Reply));
   return client.replies.emplace_back();
 }
 
-void ClientFront::Retain(Client& client, std::size_t size) {
+void ClientListener::Retain(Client& client, std::size_t size) {
   client.retained += size;
   retained_ += size;
 }
 
-void ClientFront::DropFirstReply(Client& client) {
+void ClientListener::DropFirstReply(Client& client) {
   const std::size_t size = sizeof(Reply) + client.replies.front().bytes.size();
   client.retained -= size;
   retained_ -= size;
   client.replies.pop_front();
 }
 
-void ClientFront::Flush(const ClientPtr& client) {
+void ClientListener::Flush(const ClientPtr& client) {
   while (!client->closed && client->waits()) {
     Reply& first = client->replies.front();
     if (first.transfer) {
@@ -388,16 +384,18 @@
   }
 }
 
-RequestId ClientFront::PrecedingWrite(const Client& client, std::uint64_t key) {
-  if (key == 0) return 0;
-  const auto writes = [&](const Reply& reply) { return reply.request != 0 && reply.written_key == key; };
+std::optional<RequestId> ClientListener::PrecedingWrite(const Client& client, std::uint64_t key) {
+  if (key == 0) return std::nullopt;
+  const auto writes = [&](const Reply& reply) { return reply.open() && reply.written_key == key; };
   const auto last = std::find_if(client.replies.rbegin(), client.replies.rend(), writes);
-  return last == client.replies.rend() ? 0 : last->request;
+  if (last == client.replies.rend()) return std::nullopt;
+  return last->request;
 }
 
-bool ClientFront::MakeRoom(const ClientPtr& client) {
-  const std::size_t wanted = !client->waits() && !client->ending ? client->reader.Wanted() : 0;
-  if (wanted <= pg::kLargestMessage) {
+bool ClientListener::MakeRoom(const ClientPtr& client) {
+  const std::size_t wanted =
+      !client->waits() && !client->ending ? client->reader.PendingMessageSize().value_or(0) : 0;
+  if (wanted <= pg::kMaxMessageSize) {
     client->room.reset();
     return true;
   }
@@ -412,7 +410,7 @@
   return client->room != nullptr;
 }
 
-void ClientFront::OnRoom() {
+void ClientListener::OnRoom() {
   room_posted_ = false;
   while (!awaiting_room_.empty()) {
     const ClientPtr client = awaiting_room_.front().lock();
@@ -426,7 +424,7 @@
   }
 }
 
-void ClientFront::ProcessLater(const ClientPtr& client) {
+void ClientListener::ProcessLater(const ClientPtr& client) {
   if (client->queued) return;
   client->queued = true;
   asio::post(io_, [this, client] {
@@ -435,8 +433,10 @@
   });
 }
 
-void ClientFront::OnStartup(const ClientPtr& client, std::string_view body) {
-  switch (pg::ParseStartup(body)) {
+void ClientListener::OnStartup(const ClientPtr& client, std::string_view body) {
+  const pg::Result<pg::StartupKind> kind = pg::ParseStartup(body);
+  if (!kind) return OnProtocolError(client, kind.error());
+  switch (*kind) {
     case pg::StartupKind::kEncryption:
       client->out += 'N';
       return;
@@ -447,21 +447,24 @@
   }
   client->started = true;
   client->heard = clock_.Now();
-  client->reader.ExpectTyped();
+  client->reader.EndStartup();
   pg::AppendAuthenticationOk(client->out);
   pg::AppendParameterStatus(client->out, "server_version", "15.0");
   pg::AppendParameterStatus(client->out, "server_encoding", "UTF8");
   pg::AppendParameterStatus(client->out, "client_encoding", "UTF8");
   pg::AppendParameterStatus(client->out, "standard_conforming_strings", "on");
-  pg::AppendReady(client->out);
+  pg::AppendReadyForQuery(client->out);
 }
 
-void ClientFront::OnMessage(const ClientPtr& client, char type, std::string_view body) {
+void ClientListener::OnMessage(const ClientPtr& client, char type, std::string_view body) {
   client->asked = true;
   switch (type) {
-    case 'Q':
+    case 'Q': {
       client->skipping = false;
-      return OnQuery(client, pg::ParseQuery(body));
+      const pg::Result<std::string_view> text = pg::ParseQuery(body);
+      if (!text) return OnProtocolError(client, text.error());
+      return OnQuery(client, *text);
+    }
     case 'X':
       return Terminate(client);
     case 'S':  // Sync
@@ -480,27 +483,27 @@
     case 'F':
       return Respond(*client, ErrorMessage("0A000", kSimpleOnly) + ReadyMessage());
     default:
-      throw pg::ProtocolError("a message of a type that is not known");
+      return OnProtocolError(client, pg::ProtocolError::kUnknownRequestType);
   }
 }
 
-void ClientFront::OnQuery(const ClientPtr& client, std::string_view text) {
+void ClientListener::OnQuery(const ClientPtr& client, std::string_view text) {
   const auto done = [&](std::string_view tag) {
     std::string answer;
     pg::AppendMessage(answer, 'C', std::string(tag) + '\0');
     Respond(*client, answer + ReadyMessage());
   };
-  switch (pg::HousekeepingOf(text)) {
-    case pg::Housekeeping::kEmpty:
-      if (!service_.welcomes()) return EndWith(client, "57P03", "out of service");
+  switch (pg::ParseSessionCommand(text)) {
+    case pg::SessionCommand::kEmpty:
+      if (!serving_state_.router_accepts_clients()) return EndWith(client, "57P03", "out of service");
       return Respond(*client, EmptyMessage() + ReadyMessage());
-    case pg::Housekeeping::kSet:
+    case pg::SessionCommand::kSet:
       return done("SET");
-    case pg::Housekeeping::kReset:
+    case pg::SessionCommand::kReset:
       return done("RESET");
-    case pg::Housekeeping::kDiscard:
+    case pg::SessionCommand::kDiscard:
       return done("DISCARD ALL");
-    case pg::Housekeeping::kNone:
+    case pg::SessionCommand::kNone:
       break;
   }
   const std::optional<pg::Statement> statement = pg::ParseStatement(text);
@@ -509,98 +512,101 @@
   const int class_index = found == classes_.end() ? -1 : found->second;
   if (reason) {
     ++counters_.malformed;
-    if (class_index >= 0) exchange_.CountTurnedAway(class_index, Failed{});
+    if (class_index >= 0) dispatcher_.CountLocalResponse(class_index, FailedResponse{});
     if (++client->refusals >= kMostRefusals) return EndWith(client, "08P01", reason);
     return Respond(*client, ErrorMessage("42601", reason) + ReadyMessage());
   }
   client->refusals = 0;
   if (client->no_place) {
-    exchange_.CountTurnedAway(class_index, Refused{});
-    return EndWith(client, "53300", kTooMany, ReturnIn(kNoLimit));
+    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
+    return EndWith(client, "53300", kTooMany, ReturnIn(kNoDeadline));
   }
-  if (service_.Refuses(clock_.Now())) {
-    exchange_.CountTurnedAway(class_index, Refused{});
+  if (serving_state_.Rejects(clock_.Now())) {
+    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
     return EndWith(client, "57P03", "out of service: trying again is harmless", ReturnIn(kElsewhereRetry));
   }
   // Where all that clients may hold is busy, nobody can even ask, in this process or the one that takes over.
   const bool crowded = asking_.size() >= options_.limits.most_open;
   if (crowded || (!client->room && carried_ + text.size() > options_.limits.most_buffered)) {
     ++counters_.turned_away;
-    exchange_.CountTurnedAway(class_index, Refused{});
+    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
     return Respond(*client,
-                   ErrorMessage("53300", "too much is under way", ReturnIn(kNoLimit)) + ReadyMessage());
+                   ErrorMessage("53300", "too much is under way", ReturnIn(kNoDeadline)) + ReadyMessage());
   }
   // It may have come long ago, behind an answer or for want of room, and its client has gone since.
   if (HasLeft(*client)) return Close(client);
-  const Freshness freshness = exchange_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
+  const Freshness freshness = dispatcher_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
   const auto tenant = tenants_.find(std::string(statement->tenant));
   ClientRequest request;
   request.class_index = class_index;
   request.tenant = tenant == tenants_.end() ? 0 : tenant->second;
   request.group = statement->cluster;
   if (freshness == Freshness::kSession || freshness == Freshness::kWrite) request.key = KeyOf(statement->key);
-  request.wait = statement->wait_ms * 1000;
+  request.wait = statement->timeout_ms * 1000;
   request.arrived = client->arrived;
   request.preceding_write = PrecedingWrite(*client, request.key);
-  if (freshness == Freshness::kSession) request.after_unix_ms = statement->after_ms;
-  request.repeat = statement->repeat;
+  if (freshness == Freshness::kSession) request.after_unix_ms = statement->read_after_ms;
+  request.repeat = statement->is_retry;
   Reply& reply = AddReply(*client);
-  reply.open_id = statement->id;
+  reply.open_id = statement->request_id;
   open_ids_.insert(reply.open_id);
   if (freshness == Freshness::kWrite) reply.written_key = request.key;
   if (!client->room) carried_ += reply.carried = text.size();
   // From here on the statement's text is the payload's.
-  request.payload = std::make_shared<const Payload>(Payload{client->reader.TakeBody(text), statement->wait_at,
-                                                            statement->wait_size, std::move(client->room)});
+  request.payload = std::make_shared<const RequestPayload>(
+      RequestPayload{client->reader.TakeBody(text), statement->timeout_offset, statement->timeout_size,
+                     std::move(client->room)});
   options_.before_request();
-  reply.request = exchange_.Submit(clock_.Now(), request);
+  reply.request = dispatcher_.Submit(clock_.Now(), request);
   asking_[reply.request] = client;
   ++client->open_requests;
 }
 
-void ClientFront::Terminate(const ClientPtr& client) {
+void ClientListener::Terminate(const ClientPtr& client) {
   if (!client->waits()) return Close(client);
   // It is still owed what it asked for before.
   AddReply(*client).ends_connection = true;
   client->last_words = true;
 }
 
-bool ClientFront::HasLeft(Client& client) {
+bool ClientListener::HasLeft(Client& client) {
   pollfd look{client.socket.native_handle(), POLLRDHUP, 0};
   return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 // When a refused client may come back, where the settings let it be told: no later than it heeds.
-std::string ClientFront::ReturnIn(Micros time) const {
-  const Settings& settings = exchange_.settings();
+std::string ClientListener::ReturnIn(Micros time) const {
+  const Settings& settings = dispatcher_.settings();
   const Micros told = std::min(settings.max_retry_after, time);
   return settings.retry_after && told > 0 ? std::to_string(told / 1000) : "";
 }
 
 // Why a statement is not taken as a request; null: it is.
-const char* ClientFront::WhyNot(const pg::Statement* statement,
-                                const ClassNames::const_iterator& found) const {
+const char* ClientListener::WhyNot(const pg::Statement* statement,
+                                   const ClassNames::const_iterator& found) const {
   if (!statement)
     return "the statement has no form that is served here, or lacks the comment that says what it is";
   if (found == classes_.end()) return "no class of requests has this name";
-  const ClassSettings& c = exchange_.settings().classes[static_cast<std::size_t>(found->second)];
-  if (statement->writes != (c.freshness == Freshness::kWrite)) return "the class does not fit the statement";
-  if (c.effect == Effect::kKeyed && statement->repeat_key.empty()) return "the class wants a key for repeats";
+  const ClassSettings& c = dispatcher_.settings().classes[static_cast<std::size_t>(found->second)];
+  if (statement->is_write != (c.freshness == Freshness::kWrite))
+    return "the class does not fit the statement";
+  if (c.idempotency == Idempotency::kWithKey && statement->idempotency_key.empty())
+    return "the class wants a key for repeats";
   // The request that has this id is another's: it goes on untouched.
-  if (open_ids_.contains(std::string(statement->id))) return "a request with this id is still open";
+  if (open_ids_.contains(std::string(statement->request_id))) return "a request with this id is still open";
   return nullptr;
 }
 
-void ClientFront::Deliver(RequestId id, const Answer& answer) {
+void ClientListener::Deliver(RequestId id, const Response& answer) {
   const auto it = asking_.find(id);
   if (it == asking_.end()) return;
   const ClientPtr client = it->second;
   Reply& reply = *client->Find(id);
   client->last_active = clock_.Now();
-  if (const auto* begun = std::get_if<Begun>(&answer)) {
-    reply.transfer = begun->transfer;
+  if (const auto* begun = std::get_if<StreamingResponse>(&answer)) {
+    reply.transfer = begun->stream;
     carried_ -= std::exchange(reply.carried, 0);
-    begun->transfer->on_change = [this, weak = std::weak_ptr(client)] {
+    begun->stream->on_update = [this, weak = std::weak_ptr(client)] {
       const ClientPtr waiting = weak.lock();
       if (waiting && PassOn(waiting)) Process(waiting);
     };
@@ -608,11 +614,11 @@
     return;
   }
   EndRequest(*client, reply);
-  if (const auto* served = std::get_if<Served>(&answer)) {
-    pg::AppendMessage(reply.bytes, 'T', served->value.shape);
-    pg::AppendDataRow(reply.bytes, served->value.value);
-    pg::AppendMessage(reply.bytes, 'C', served->value.tag);
-  } else if (const auto* refused = std::get_if<Refused>(&answer)) {
+  if (const auto* served = std::get_if<ServedResponse>(&answer)) {
+    pg::AppendMessage(reply.bytes, 'T', served->result.row_description);
+    pg::AppendDataRow(reply.bytes, served->result.value);
+    pg::AppendMessage(reply.bytes, 'C', served->result.command_tag);
+  } else if (const auto* refused = std::get_if<RejectedResponse>(&answer)) {
     const std::string when =
         refused->retry_after > 0 ? std::to_string((refused->retry_after + 999) / 1000) : "";
     reply.bytes = ErrorMessage("53300", "refused: trying again is harmless", when);
@@ -624,40 +630,40 @@
   Process(client);
 }
 
-bool ClientFront::PassOn(const ClientPtr& client) {
+bool ClientListener::PassOn(const ClientPtr& client) {
   if (client->closed || !client->waits() || !client->replies.front().transfer) return false;
   Reply& reply = client->replies.front();
-  const std::shared_ptr<Transfer> transfer = reply.transfer;
+  const std::shared_ptr<ResponseStream> transfer = reply.transfer;
   if (!std::exchange(reply.transfer_begun, true)) {
-    pg::AppendMessage(client->out, 'T', transfer->shape());
-    pg::AppendRowHead(client->out, transfer->size());
+    pg::AppendMessage(client->out, 'T', transfer->row_description());
+    pg::AppendRowHeader(client->out, transfer->size());
   }
   while (!client->writing && !client->closed) {
     if (!client->out.empty()) {
       Write(client);
     } else if (!transfer->empty()) {
-      client->out = transfer->Take();
+      client->out = transfer->Read();
     } else {
       break;
     }
   }
-  if (client->closed || client->writing || transfer->state() == Transfer::State::kRunning) return false;
+  if (client->closed || client->writing || transfer->state() == ResponseStream::State::kOpen) return false;
   const RequestId request = reply.request;
   EndRequest(*client, reply);
   DropFirstReply(*client);
-  const bool whole = transfer->state() == Transfer::State::kWhole;
-  exchange_.Delivered(request);
+  const bool whole = transfer->state() == ResponseStream::State::kComplete;
+  dispatcher_.StreamDelivered(request);
   if (!whole) {
     // A part of the value is out: only the close can say that the rest will not come.
     Close(client);
     return false;
   }
-  pg::AppendMessage(client->out, 'C', transfer->tag());
-  pg::AppendReady(client->out);
+  pg::AppendMessage(client->out, 'C', transfer->command_tag());
+  pg::AppendReadyForQuery(client->out);
   return true;
 }
 
-void ClientFront::EndRequest(Client& client, Reply& reply) {
+void ClientListener::EndRequest(Client& client, Reply& reply) {
   asking_.erase(std::exchange(reply.request, 0));
   --client.open_requests;
   ++client.answered;
@@ -668,7 +674,7 @@
 
 // At once, as far as the socket takes it. The last words leave in one piece with the end of the stream: a
 // client that had them first could ask again in between.
-void ClientFront::Write(const ClientPtr& client) {
+void ClientListener::Write(const ClientPtr& client) {
   if (client->writing || client->closed) return;
   if (!client->out.empty()) {
     const int flags = MSG_DONTWAIT | MSG_NOSIGNAL | (client->ending ? MSG_MORE : 0);
@@ -698,8 +704,13 @@
                     });
 }
 
-void ClientFront::EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
-                          std::string_view detail) {
+void ClientListener::OnProtocolError(const ClientPtr& client, pg::ProtocolError error) {
+  ++counters_.malformed;
+  EndWith(client, "08P01", pg::ToText(error));
+}
+
+void ClientListener::EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
+                             std::string_view detail) {
   if (client->ending || client->closed || client->last_words) return;
   client->room.reset();
   client->reader = pg::MessageReader(false);  // what it has sent is not kept while it takes its leave
@@ -720,7 +731,7 @@
 }
 
 // Sends the end of the stream and waits for the client's: closing at once could destroy what it has not read.
-void ClientFront::Finish(const ClientPtr& client) {
+void ClientListener::Finish(const ClientPtr& client) {
   if (!client->ending) client->ending_since = clock_.Now();
   client->ending = true;
   if (client->writing || !client->out.empty()) return Write(client);
@@ -730,7 +741,7 @@
   Read(client);
 }
 
-void ClientFront::Close(const ClientPtr& client) {
+void ClientListener::Close(const ClientPtr& client) {
   if (client->closed) return;
   client->closed = true;
   std::error_code ignored;
@@ -743,7 +754,7 @@
     if (!reply->open()) continue;
     const RequestId request = reply->request;
     EndRequest(*client, *reply);
-    exchange_.ClientLeft(clock_.Now(), request);
+    dispatcher_.ClientDisconnected(clock_.Now(), request);
   }
   client->replies.clear();
   clients_.erase(ClientPtr(client));
@@ -753,7 +764,7 @@
 // hold their connection for good after that; then the rest, whoever has been idle longest first. Last of all
 // goes one that has only just connected and is about to ask: it would come back, and so would the one for
 // which that one is shed.
-bool ClientFront::ShedIdle(Micros least_idle) {
+bool ClientListener::ShedIdle(Micros least_idle) {
   const Micros now = clock_.Now();
   for (bool looked = false;; looked = true) {
     while (!to_shed_.empty()) {
@@ -777,7 +788,7 @@
 }
 
 // A look at all clients serves many that come: in a crowd there is no time for one each.
-void ClientFront::LookForIdle() {
+void ClientListener::LookForIdle() {
   const Micros now = clock_.Now();
   using Ranked = std::tuple<int, Micros, ClientPtr>;
   std::vector<Ranked> idle;
@@ -798,7 +809,7 @@
   next_look_ = idle.empty() ? now + kLookPause : now;
 }
 
-bool ClientFront::Idle(const Client& client) const {
+bool ClientListener::Idle(const Client& client) const {
   if (client.waits() || client.ending || client.closed || client.queued) return false;
   // What has arrived and was not read yet is a request like any other.
   std::error_code error;
@@ -807,7 +818,7 @@
 
 // Whether somebody is owed anything: an answer, one that is not all sent, or the time to end what it has
 // begun.
-bool ClientFront::Owes(Micros patience) const {
+bool ClientListener::Owes(Micros patience) const {
   const Micros now = clock_.Now();
   return std::any_of(clients_.begin(), clients_.end(), [&](const ClientPtr& client) {
     if (client->waits() || client->unsent() > 0 || client->queued) return true;
@@ -818,7 +829,7 @@
   });
 }
 
-void ClientFront::StopAccepting() {
+void ClientListener::StopAccepting() {
   accepting_ = false;
   while (acceptor_.is_open()) {
     std::error_code error;
@@ -827,36 +838,36 @@
     Admit(std::move(socket));
   }
   std::error_code ignored;
-  accept_pause_.Off();
+  accept_pause_.Cancel();
   acceptor_.close(ignored);
 }
 
 // What is still on its way is refused before it is whole: where the process only ended, the last byte of a
 // statement could cross that, and its client would have no answer.
-void ClientFront::Dismiss() {
+void ClientListener::Dismiss() {
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) {
     if (!client->waits()) EndWith(client, "57P03", "out of service: trying again is harmless");
   }
 }
 
-void ClientFront::ArmSweep() {
-  sweep_.In(kSweepEvery, [this] {
+void ClientListener::ArmSweep() {
+  sweep_.ExpireAfter(kSweepEvery, [this] {
     Sweep();
     ArmSweep();
   });
 }
 
 // Nothing is read of one that has sent far ahead or waits for room, so that its end is not come upon.
-void ClientFront::LookForDepartures() {
-  departures_.In(kDeparturesEvery, [this] { LookForDepartures(); });
+void ClientListener::LookForDepartures() {
+  departures_.ExpireAfter(kDeparturesEvery, [this] { LookForDepartures(); });
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) {
     if (!client->ending && !client->reading && HasLeft(*client)) Close(client);
   }
 }
 
-void ClientFront::Sweep() {
+void ClientListener::Sweep() {
   const Micros patience = 3 * clients_.size() > options_.limits.most_clients ? kIdleCrowded : kIdle;
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) {
@@ -870,7 +881,7 @@
     if (client->ending || client->waits() || client->queued || client->writing) continue;
     // One that has only just connected is about to ask.
     const bool new_here = !client->asked && now - client->connected <= kTimeToAsk;
-    if (service_.ReleasesIdle(now, client->last_active) && !new_here && Idle(*client)) {
+    if (serving_state_.ClosesIdle(now, client->last_active) && !new_here && Idle(*client)) {
       Finish(client);
       continue;
     }
@@ -894,26 +905,26 @@
   }
 }
 
-const char* ClientFront::TooLate(const Client& client) const {
+const char* ClientListener::TooLate(const Client& client) const {
   const Micros now = clock_.Now();
   const bool partial = client.reader.buffered() > 0;
   if (client.awaits_room)
     return now - client.last_active > kLongestRoomWait ? "no room for so much" : nullptr;
   if (!partial && client.asked) return nullptr;
   // Of a message whose head is there each piece counts, before that only the whole head.
-  const bool comes = partial && client.reader.Wanted() > 0;
+  const bool comes = partial && client.reader.PendingMessageSize().has_value();
   const Micros since = comes ? client.last_active : partial ? client.message_since : client.heard;
   const bool late =
       now - since > kFirstRequestWithin || (partial && now - client.message_since > kLongestMessage);
   return late ? "no whole message came in time" : nullptr;
 }
 
-void ClientFront::Stop() {
+void ClientListener::Stop() {
   std::error_code ignored;
   acceptor_.close(ignored);
-  accept_pause_.Off();
-  sweep_.Off();
-  departures_.Off();
+  accept_pause_.Cancel();
+  sweep_.Cancel();
+  departures_.Cancel();
   const std::unordered_set<ClientPtr> clients = clients_;
   for (const ClientPtr& client : clients) Close(client);
 }
--- a/src/net/front.hpp
+++ b/src/listener/client_listener.hpp
@@ -1,6 +1,6 @@
 // The clients' side: accepts connections, reads requests and writes their final answers.
-#ifndef TULIPYOKE_SRC_NET_FRONT_HPP_
-#define TULIPYOKE_SRC_NET_FRONT_HPP_
+#ifndef TULIPYOKE_SRC_LISTENER_CLIENT_LISTENER_HPP_
+#define TULIPYOKE_SRC_LISTENER_CLIENT_LISTENER_HPP_
 
 #include <asio.hpp>
 #include <cstddef>
@@ -13,17 +13,21 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "src/exchange/exchange.hpp"
-#include "src/net/alarm.hpp"
-#include "src/net/clock.hpp"
-#include "src/net/service.hpp"
-#include "src/net/statement_budget.hpp"
+#include "src/dispatch/dispatcher.hpp"
+#include "src/event_loop/cancellable_timer.hpp"
+#include "src/event_loop/loop_clock.hpp"
+#include "src/listener/statement_budget.hpp"
+#include "src/pg/message_parser.hpp"
+#include "src/pg/message_reader.hpp"
+#include "src/pg/message_writer.hpp"
+#include "src/pg/protocol_error.hpp"
+#include "src/pg/session_command.hpp"
 #include "src/pg/statement.hpp"
-#include "src/pg/wire.hpp"
+#include "src/serving_state/serving_state.hpp"
 
 namespace tulipyoke::net {
 
-struct FrontLimits {
+struct ListenerLimits {
   std::size_t most_clients = 0;
   // Requests; clients may hold no more connections for them than a third of the descriptors.
   std::size_t most_open = 0;
@@ -34,33 +38,33 @@
   std::size_t most_pipelined = 1;
 };
 
-struct FrontOptions {
+struct ListenerOptions {
   asio::ip::tcp::endpoint listen;
-  FrontLimits limits;
+  ListenerLimits limits;
   int accept_fd = -1;  // a listening socket that is held for all processes of this router
   // Called before each request is handed in: another process may have told something that it depends on.
   std::function<void()> before_request = [] {};
 };
 
-struct FrontCounters {
+struct ListenerCounters {
   std::uint64_t accepted = 0, turned_away = 0, shed = 0, idle = 0, silent = 0;
   std::uint64_t malformed = 0, accept_errors = 0;
 };
 
-class ClientFront {
+class ClientListener {
  public:
   // Throws std::runtime_error where the address cannot be listened on.
-  ClientFront(asio::io_context& io, LoopClock& clock, Exchange& exchange, const Service& service,
-              const FrontOptions& options);
-  ~ClientFront();
+  ClientListener(asio::io_context& io, LoopClock& clock, Dispatcher& dispatcher,
+                 const ServingState& serving_state, const ListenerOptions& options);
+  ~ClientListener();
 
-  void Deliver(RequestId id, const Answer& answer);
+  void Deliver(RequestId id, const Response& answer);
   void StartAccepting();
   // What has connected and was not taken in is left to whoever shares the listening socket.
   void PauseAccepting();
   // Takes in what has connected already and accepts nothing more.
   void StopAccepting();
-  void Resize(const FrontLimits& limits);
+  void Resize(const ListenerLimits& limits);
   // The last word to all whose request has not come whole: from here on none can be served any more.
   void Dismiss();
   bool Owes(Micros patience) const;
@@ -70,7 +74,7 @@
 
   std::size_t clients() const { return clients_.size(); }
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-  const FrontCounters& counters() const { return counters_; }
+  const ListenerCounters& counters() const { return counters_; }
 
  private:
   struct Client;
@@ -103,8 +107,8 @@
   void Flush(const ClientPtr& client);
   // The client says that it asks nothing more.
   void Terminate(const ClientPtr& client);
-  // The open request of this client whose write the one with that session key has to see; 0: none.
-  static RequestId PrecedingWrite(const Client& client, std::uint64_t key);
+  // The open request of this client whose write the one with that session key has to see.
+  static std::optional<RequestId> PrecedingWrite(const Client& client, std::uint64_t key);
   // Its machine has said by now that it sends no more, whatever is still unread before that.
   static bool HasLeft(Client& client);
   std::string ReturnIn(Micros time) const;
@@ -115,6 +119,8 @@
   // True: it is through, and the answer to it is no longer in the order.
   bool PassOn(const ClientPtr& client);
   void Write(const ClientPtr& client);
+  // Ends a connection whose client broke the protocol.
+  void OnProtocolError(const ClientPtr& client, pg::ProtocolError error);
   // Says why, then ends the connection without losing what was said.
   void EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
                std::string_view detail = {});
@@ -130,13 +136,13 @@
 
   asio::io_context& io_;
   LoopClock& clock_;
-  Exchange& exchange_;
-  const Service& service_;
-  FrontOptions options_;
-  FrontCounters counters_;
+  Dispatcher& dispatcher_;
+  const ServingState& serving_state_;
+  ListenerOptions options_;
+  ListenerCounters counters_;
   asio::ip::tcp::acceptor acceptor_;
-  Alarm accept_pause_;
-  Alarm sweep_, departures_;
+  CancellableTimer accept_pause_;
+  CancellableTimer sweep_, departures_;
   std::unordered_set<ClientPtr> clients_;
   std::unordered_map<RequestId, ClientPtr> asking_;
   std::unordered_set<std::string> open_ids_;
@@ -158,4 +164,4 @@
 
 }  // namespace tulipyoke::net
 
-#endif  // TULIPYOKE_SRC_NET_FRONT_HPP_
+#endif  // TULIPYOKE_SRC_LISTENER_CLIENT_LISTENER_HPP_
--- a/src/net/statement_budget.hpp
+++ b/src/listener/statement_budget.hpp
@@ -1,7 +1,7 @@
 // Room for large statements: they end with what the decisions need, so that each has to be held whole. One
 // sum for all clients, from which the stated length is set aside before the rest is read.
-#ifndef TULIPYOKE_SRC_NET_STATEMENT_BUDGET_HPP_
-#define TULIPYOKE_SRC_NET_STATEMENT_BUDGET_HPP_
+#ifndef TULIPYOKE_SRC_LISTENER_STATEMENT_BUDGET_HPP_
+#define TULIPYOKE_SRC_LISTENER_STATEMENT_BUDGET_HPP_
 
 #include <cstddef>
 #include <functional>
@@ -44,4 +44,4 @@
 
 }  // namespace tulipyoke::net
 
-#endif  // TULIPYOKE_SRC_NET_STATEMENT_BUDGET_HPP_
+#endif  // TULIPYOKE_SRC_LISTENER_STATEMENT_BUDGET_HPP_
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,354 +1,292 @@
 #include "src/membership/membership.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <set>
 
 namespace tulipyoke::membership {
 namespace {
 
-constexpr Micros kMillisecond = 1000;
+constexpr Micros kMicrosPerMillisecond = 1000;
 
-// A start that is not told, of a server that stood there when its source was first heard.
+// The start of a process that ran before its source's first listing and whose start was not announced.
 constexpr std::int64_t kLongAgoMs = 1;
 
-bool Names(Word word) { return word == Word::kReady || word == Word::kDraining; }
-bool Drains(Word word) { return word == Word::kVanished || word == Word::kDraining; }
-
 }  // namespace
 
-const char* ToText(Reason reason) {
-  switch (reason) {
-    case Reason::kReady:
-      return "in service";
-    case Reason::kWaiting:
-      return "waits to be let in";
-    case Reason::kTold:
-      return "terminating";
-    case Reason::kVanished:
-      return "vanished";
-    case Reason::kHeldDown:
-      return "held down for flapping";
-  }
-  return "";
-}
-
 Membership::Membership(const Options& options, std::vector<std::string> sources)
     : options_(options),
       sources_(std::move(sources)),
-      heard_(sources_.size(), false),
+      has_listed_(sources_.size(), false),
       admission_(options.admission) {}
 
-void Membership::Heard(Micros now, std::size_t source, const Listing& listing) {
-  Read(now, source, listing);
-  heard_[source] = true;
+void Membership::ApplyListing(Micros now, std::size_t source, const EndpointList& listing) {
+  MergeListing(now, source, listing);
+  has_listed_[source] = true;
   Tick(now);
 }
 
-void Membership::Remember(Micros now, std::size_t source, const Listing& listing) {
-  Read(now, source, listing);
+void Membership::RestoreListing(Micros now, std::size_t source, const EndpointList& listing) {
+  MergeListing(now, source, listing);
 }
 
-void Membership::Read(Micros now, std::size_t source, const Listing& listing) {
-  if (listing.complete) {
-    std::set<std::string> named;
-    for (const ListedServer& listed : listing.servers) {
-      if (listed.state != ServerState::kGone) named.insert(listed.id);
-    }
-    for (Entry& entry : servers_) {
-      if (Names(entry.second.claims[source].word) && !named.contains(entry.first)) Vanish(now, source, entry);
-    }
-  }
+void Membership::MergeListing(Micros now, std::size_t source, const EndpointList& listing) {
+  if (listing.complete) WithdrawMissing(now, source, listing);
   for (const ListedServer& listed : listing.servers) {
     if (listed.state != ServerState::kGone) {
-      Take(now, source, listed);
-    } else if (const auto it = servers_.find(listed.id); it != servers_.end()) {
-      if (Names(it->second.claims[source].word)) Vanish(now, source, *it);
+      Announce(now, source, listed);
+      continue;
     }
+    const auto it = servers_.find(listed.id);
+    if (it != servers_.end() && IsAnnounced(it->second.records[source].state)) Withdraw(now, source, *it);
   }
 }
 
-void Membership::Dropped(Micros now, std::size_t source) {
+void Membership::WithdrawMissing(Micros now, std::size_t source, const EndpointList& listing) {
+  std::set<std::string> named;
+  for (const ListedServer& listed : listing.servers) {
+    if (listed.state != ServerState::kGone) named.insert(listed.id);
+  }
   for (Entry& entry : servers_) {
-    Claim& claim = entry.second.claims[source];
-    if (claim.word == Word::kNothing) continue;
-    // Who nobody else names has lost its last word for service, which is no reason to serve on there.
-    claim = Names(claim.word) && !std::any_of(entry.second.claims.begin(), entry.second.claims.end(),
-                                              [&](const Claim& c) { return &c != &claim && Names(c.word); })
-                ? Claim{Word::kVanished, claim.listed, now}
-                : Claim();
-    Judge(now, entry);
+    const bool announced = IsAnnounced(entry.second.records[source].state);
+    if (announced && !named.contains(entry.first)) Withdraw(now, source, entry);
   }
-  heard_[source] = false;
-  Tick(now);
 }
 
-void Membership::Take(Micros now, std::size_t source, const ListedServer& listed) {
-  if (!servers_.contains(listed.id) && servers_.size() >= options_.most_servers) {
-    ++counters_.over;
+void Membership::Announce(Micros now, std::size_t source, const ListedServer& listed) {
+  if (!servers_.contains(listed.id) && servers_.size() >= options_.max_servers) {
+    ++counters_.over_limit;
     return;
   }
   Entry& entry = *servers_.try_emplace(listed.id).first;
   Server& server = entry.second;
-  const bool fresh = server.claims.empty();
-  server.claims.resize(sources_.size());
-  Claim& claim = server.claims[source];
-  const Word before = claim.word;
-  const Word word = listed.state == ServerState::kReady ? Word::kReady : Word::kDraining;
-  if (word != before) claim.since = now;
-  claim.word = word;
-  claim.listed = listed;
-  NoteProcess(now, source, server, before);
-  // What a source knew from the start has served for a while unless it says otherwise; the rest waits.
-  const bool started_now = server.started_ms * kMillisecond > now - options_.warm_after;
-  if (fresh && !heard_[source] && !started_now) {
-    server.let_in = true;
-    if (server.started_ms == 0) server.started_ms = kLongAgoMs;
-  }
-  if (before == Word::kVanished && word == Word::kReady) ++counters_.returned;
-  Judge(now, entry);
+  const bool first_seen = server.records.empty();
+  server.records.resize(sources_.size());
+  SourceRecord& record = server.records[source];
+  const SourceState previous = record.state;
+  const SourceState state =
+      listed.state == ServerState::kReady ? SourceState::kReady : SourceState::kDraining;
+  if (state != previous) record.since = now;
+  record.state = state;
+  record.listed = listed;
+  TrackProcess(now, source, previous, server);
+  if (first_seen && !has_listed_[source]) AssumeAdmitted(now, server);
+  if (previous == SourceState::kVanished && state == SourceState::kReady) ++counters_.returned;
+  Evaluate(now, entry);
 }
 
-void Membership::Vanish(Micros now, std::size_t source, Entry& entry) {
-  Claim& claim = entry.second.claims[source];
-  // Who was draining was expected to go.
-  if (claim.word == Word::kReady && Vanished(options_.flapping, entry.second.flaps, now)) {
-    ++counters_.held_down;
-  }
-  claim.word = Word::kVanished;
-  claim.since = now;
+void Membership::Withdraw(Micros now, std::size_t source, Entry& entry) {
+  Server& server = entry.second;
+  SourceRecord& record = server.records[source];
+  // A draining server was expected to go; that is no flapping.
+  const bool unexpected = record.state == SourceState::kReady;
+  if (unexpected && server.flap_history.RecordWithdrawal(options_.flap_damping, now)) ++counters_.suppressed;
+  record.state = SourceState::kVanished;
+  record.since = now;
   ++counters_.vanished;
-  Judge(now, entry);
+  Evaluate(now, entry);
 }
 
-const Membership::Claim* Membership::Placing(const Server& server) const {
-  const Claim* last = nullptr;
-  for (const Claim& claim : server.claims) {
-    if (Names(claim.word)) return &claim;
-    if (claim.word == Word::kVanished && (!last || claim.since > last->since)) last = &claim;
-  }
-  return last;
+void Membership::TrackProcess(Micros now, std::size_t source, SourceState previous, Server& server) {
+  const ProcessChange change = DetectRestart(now, server.records, source, previous, server.process);
+  if (change.restarted) ++counters_.restarts;
+  if (change.moved) ++counters_.moved;
 }
 
-bool Membership::Named(const Server& server) const {
-  return std::any_of(server.claims.begin(), server.claims.end(),
-                     [](const Claim& claim) { return Names(claim.word); });
+// A source's first listing names servers that have been in service for a while, unless it says otherwise;
+// only servers that appear later wait for admission.
+void Membership::AssumeAdmitted(Micros now, Server& server) {
+  const bool cold = server.process.start_ms * kMicrosPerMillisecond > now - options_.warm_up_time;
+  if (cold) return;
+  server.admitted = true;
+  if (server.process.start_ms == 0) server.process.start_ms = kLongAgoMs;
 }
 
-// A process that just started must not be taken for the warm one that had its name before: in doubt it is
-// new.
-void Membership::NoteProcess(Micros now, std::size_t source, Server& server, Word before) {
-  const Claim& claim = server.claims[source];
-  const Claim& placing = *Placing(server);
-  const bool known = !server.address.empty();
-  const bool moved = known && placing.listed.address != server.address;
-  if (claim.listed.started_unix_ms > server.told_started_ms) {
-    if (known && claim.listed.started_unix_ms > server.started_ms) ++counters_.restarts;
-    server.started_ms = std::max(server.started_ms, claim.listed.started_unix_ms);
-    server.told_started_ms = claim.listed.started_unix_ms;
-    // Another source's word that the former process has gone says nothing of this one.
-    for (Claim& other : server.claims) {
-      if (other.word == Word::kVanished && other.since <= server.told_started_ms * kMillisecond) {
-        other.word = Word::kNothing;
-      }
+void Membership::RemoveSource(Micros now, std::size_t source) {
+  for (Entry& entry : servers_) {
+    SourceRecords& records = entry.second.records;
+    SourceRecord removed = std::exchange(records[source], SourceRecord());
+    if (removed.state == SourceState::kUnknown) continue;
+    // A server that no other source announces has lost its last announcement and must not serve on.
+    if (IsAnnounced(removed.state) && !IsAnnouncedByAny(records)) {
+      records[source] = {SourceState::kVanished, std::move(removed.listed), now};
     }
-  } else if (moved || (before == Word::kVanished && claim.listed.started_unix_ms == 0)) {
-    ++counters_.restarts;
-    server.started_ms = now / kMillisecond;
+    Evaluate(now, entry);
+  }
+  has_listed_[source] = false;
+  Tick(now);
+}
+
+void Membership::Evaluate(Micros now, Entry& entry) {
+  auto& [id, server] = entry;
+  server.flap_history.Update(options_.flap_damping, now);
+  if (!AuthoritativeRecord(server.records)) {
+    Publish(server, std::nullopt);
+    wakeups_.Set(id, now);
+    return;
   }
-  if (moved) ++counters_.moved;
-  server.address = placing.listed.address;
+  UpdateConflict(server);
+  Reason reason = DecideReason(server);
+  if (reason == Reason::kAwaitingAdmission && server.published) {
+    // It is still listed as draining: a server that returns is not a new one.
+    server.admitted = true;
+    reason = Reason::kInService;
+  }
+  SetReason(now, server, reason);
+  UpdateAdmissionQueue(id, server);
+  server.vanish_timer.Update(reason == Reason::kVanished, now);
+  Publish(server, ListingFor(now, server));
+  wakeups_.Set(id, NextEvaluation(now, server));
 }
 
-// Holding down must not empty a set: where as many are held as are left, the flapping is not the servers'.
-bool Membership::HoldsDown(const Server& server) const {
-  if (!server.flaps.held) return false;
-  const auto count = groups_.find(Placing(server)->listed.group);
-  return count != groups_.end() && count->second.ready > count->second.held;
+void Membership::UpdateConflict(Server& server) {
+  const bool conflicting = IsConflicting(server.records);
+  if (conflicting && !server.conflicting) ++counters_.conflicts;
+  server.conflicting = conflicting;
 }
 
-Reason Membership::ReasonFor(const Server& server) const {
-  const auto says = [&](Word word) {
-    return std::any_of(server.claims.begin(), server.claims.end(),
-                       [&](const Claim& claim) { return claim.word == word; });
-  };
-  if (says(Word::kVanished)) return Reason::kVanished;
-  if (says(Word::kDraining)) return Reason::kTold;
-  if (HoldsDown(server)) return Reason::kHeldDown;
-  return server.let_in ? Reason::kReady : Reason::kWaiting;
+Reason Membership::DecideReason(const Server& server) const {
+  if (HasState(server.records, SourceState::kVanished)) return Reason::kVanished;
+  if (HasState(server.records, SourceState::kDraining)) return Reason::kTerminating;
+  const int group = AuthoritativeRecord(server.records)->listed.group;
+  if (server.flap_history.suppressed() && groups_.MaySuppress(group)) return Reason::kSuppressed;
+  return server.admitted ? Reason::kInService : Reason::kAwaitingAdmission;
 }
 
 void Membership::SetReason(Micros now, Server& server, Reason reason) {
-  if (server.reason == reason && server.since != 0) return;
-  if (server.reason == Reason::kHeldDown) --groups_[server.held_in].held;
-  server.held_in = Placing(server)->listed.group;
-  if (reason == Reason::kHeldDown) ++groups_[server.held_in].held;
+  if (server.reason == reason && server.reason_since) return;
+  if (server.reason == Reason::kSuppressed) groups_.RemoveSuppressed(server.suppressed_group);
+  server.suppressed_group = AuthoritativeRecord(server.records)->listed.group;
+  if (reason == Reason::kSuppressed) groups_.AddSuppressed(server.suppressed_group);
   server.reason = reason;
-  server.since = now;
+  server.reason_since = now;
 }
 
-void Membership::Judge(Micros now, Entry& entry) {
-  Server& server = entry.second;
-  Review(options_.flapping, server.flaps, now);
-  const Claim* placing = Placing(server);
-  if (!placing) {  // no source says anything of it any more
-    Tell(entry, std::nullopt);
-    Arm(entry, now);
-    return;
-  }
-  const bool drained = std::any_of(server.claims.begin(), server.claims.end(),
-                                   [](const Claim& claim) { return Drains(claim.word); });
-  const bool ready = std::any_of(server.claims.begin(), server.claims.end(),
-                                 [](const Claim& claim) { return claim.word == Word::kReady; });
-  if (drained && ready && !server.disputed) ++counters_.disagreed;
-  server.disputed = drained && ready;
-
-  Reason reason = ReasonFor(server);
-  if (reason == Reason::kWaiting && server.told) {
-    // It is on the list already, draining: coming back, it is no newcomer.
-    server.let_in = true;
-    reason = Reason::kReady;
-  }
-  const Reason was = server.reason;
-  SetReason(now, server, reason);
-  const int group = placing->listed.group;
-  if (server.queued_for >= 0 && (reason != Reason::kWaiting || server.queued_for != group)) {
-    admission_.Leave(entry.first, std::exchange(server.queued_for, -1));
-  }
-  if (reason == Reason::kWaiting && server.queued_for < 0) {
-    admission_.Wait(entry.first, group);
-    server.queued_for = group;
-  }
+void Membership::UpdateAdmissionQueue(const std::string& id, Server& server) {
+  std::optional<int> group;
+  if (server.reason == Reason::kAwaitingAdmission) group = AuthoritativeRecord(server.records)->listed.group;
+  if (server.queued_group == group) return;
+  if (server.queued_group) admission_.Remove(id, *server.queued_group);
+  if (group) admission_.Enqueue(id, *group);
+  server.queued_group = group;
+}
 
-  ListedServer listed = placing->listed;
-  listed.started_unix_ms = server.started_ms;
-  listed.state = reason == Reason::kReady ? ServerState::kReady : ServerState::kDraining;
-  if (reason != Reason::kVanished) {
-    server.away_since = 0;
-  } else if (server.away_since == 0 || was != Reason::kVanished) {
-    server.away_since = now;
-  }
-  const bool lingers = reason != Reason::kVanished || now < server.away_since + options_.linger;
-  if (reason == Reason::kReady || (server.told && lingers)) {
-    Tell(entry, listed);
-  } else {
-    Tell(entry, std::nullopt);
+// A server that is not in service is listed only if it was before, so that its requests can finish.
+std::optional<ListedServer> Membership::ListingFor(Micros now, const Server& server) const {
+  const bool in_service = server.reason == Reason::kInService;
+  const bool drains = server.published && server.vanish_timer.IsListed(options_.vanish, now);
+  if (!in_service && !drains) return std::nullopt;
+  ListedServer listed = AuthoritativeRecord(server.records)->listed;
+  listed.started_unix_ms = server.process.start_ms;
+  listed.state = in_service ? ServerState::kReady : ServerState::kDraining;
+  return listed;
+}
+
+std::optional<Micros> Membership::NextEvaluation(Micros now, const Server& server) const {
+  if (server.reason == Reason::kVanished) return server.vanish_timer.NextChange(options_.vanish, now);
+  if (!server.flap_history.suppressed()) return std::nullopt;
+  return std::max(now + 1, server.flap_history.ReuseTime(options_.flap_damping));
+}
+
+void Membership::Publish(Server& server, std::optional<ListedServer> listed) {
+  if (server.published == listed) return;
+  const std::optional<ListedServer> before = std::exchange(server.published, std::move(listed));
+  const std::optional<ListedServer>& after = server.published;
+  // What is known of a server, such as its replication position, must not be carried over to another group or
+  // address: it is removed first and added as a new one.
+  if (before && (!after || after->group != before->group || after->address != before->address)) {
+    changes_.push_back(*before);
+    changes_.back().state = ServerState::kGone;
   }
-  if (reason == Reason::kVanished) {
-    Arm(entry, server.away_since + (lingers ? options_.linger : options_.linger + options_.memory));
-  } else if (server.flaps.held) {
-    Arm(entry, std::max(now + 1, FreeAt(options_.flapping, server.flaps)));
+  if (before && before->state == ServerState::kReady) groups_.RemoveInService(before->group);
+  if (after && after->state == ServerState::kReady) groups_.AddInService(after->group);
+  if (after) {
+    changes_.push_back(*after);
   } else {
-    Arm(entry, 0);
+    server.admitted = false;
   }
 }
 
-void Membership::Tell(Entry& entry, std::optional<ListedServer> listed) {
-  Server& server = entry.second;
-  if (server.told == listed) return;
-  const auto count = [&](const std::optional<ListedServer>& told, int step) {
-    if (told && told->state == ServerState::kReady)
-      groups_[told->group].ready += static_cast<std::size_t>(step);
-  };
-  // Another set or another place: what the old one has shown, its position in the log above all, must not be
-  // believed of the new one. Gone first, it gets a new number there.
-  if (server.told &&
-      (!listed || listed->group != server.told->group || listed->address != server.told->address)) {
-    changes_.push_back(*server.told);
-    changes_.back().state = ServerState::kGone;
-  }
-  count(server.told, -1);
-  count(listed, 1);
-  if (!listed) server.let_in = false;
-  server.told = std::move(listed);
-  if (server.told) changes_.push_back(*server.told);
+void Membership::Tick(Micros now) {
+  while (const std::optional<std::string> id = wakeups_.PopDue(now)) Wake(now, *servers_.find(*id));
+  ReleaseOverSuppressed(now);
+  AdmitWaiting(now);
 }
 
-void Membership::Arm(Entry& entry, Micros when) {
+void Membership::Wake(Micros now, Entry& entry) {
+  if (IsForgotten(now, entry.second)) return Forget(entry);
+  Evaluate(now, entry);
+  // Another source still announces it: it stays drained until one of the sources changes its record.
+  const std::optional<Micros> next = wakeups_.TimeOf(entry.first);
+  if (next && *next <= now) wakeups_.Set(entry.first, std::nullopt);
+}
+
+bool Membership::IsForgotten(Micros now, const Server& server) const {
+  if (!AuthoritativeRecord(server.records)) return true;
+  return !IsAnnouncedByAny(server.records) && server.vanish_timer.IsExpired(options_.vanish, now);
+}
+
+void Membership::Forget(Entry& entry) {
   Server& server = entry.second;
-  if (server.due == when) return;
-  if (server.due != 0) due_.erase({server.due, entry.first});
-  server.due = when;
-  if (when != 0) due_.emplace(when, entry.first);
+  Publish(server, std::nullopt);
+  if (server.queued_group) admission_.Remove(entry.first, *server.queued_group);
+  if (server.reason == Reason::kSuppressed) groups_.RemoveSuppressed(server.suppressed_group);
+  const std::string id = entry.first;
+  servers_.erase(id);
+  groups_.RemoveEmpty();
 }
 
-void Membership::Tick(Micros now) {
-  while (!due_.empty() && due_.begin()->first <= now) {
-    const auto it = servers_.find(due_.begin()->second);
-    due_.erase(due_.begin());
-    it->second.due = 0;
-    Server& server = it->second;
-    const bool over = !Placing(server) || (server.reason == Reason::kVanished && !Named(server) &&
-                                           now >= server.away_since + options_.linger + options_.memory);
-    if (!over) {
-      Judge(now, *it);
-      // Another source names it still: the drain holds until one of them says more.
-      if (it->second.due != 0 && it->second.due <= now) Arm(*it, 0);
-      continue;
-    }
-    Tell(*it, std::nullopt);
-    if (server.queued_for >= 0) admission_.Leave(it->first, server.queued_for);
-    if (server.reason == Reason::kHeldDown) --groups_[server.held_in].held;
-    servers_.erase(it);
-    std::erase_if(groups_, [](const auto& item) { return item.second.ready == 0 && item.second.held == 0; });
+// Where more servers of a group are suppressed than may be, they are evaluated again: the others must not
+// carry the whole load.
+void Membership::ReleaseOverSuppressed(Micros now) {
+  const std::set<int> groups = groups_.OverSuppressed();
+  if (groups.empty()) return;
+  for (Entry& entry : servers_) {
+    const Server& server = entry.second;
+    if (server.reason != Reason::kSuppressed) continue;
+    if (groups.contains(AuthoritativeRecord(server.records)->listed.group)) Evaluate(now, entry);
   }
-  FreeHeld(now);
-  Admit(now);
 }
 
-void Membership::Admit(Micros now) {
-  const auto ready = [&](int group) {
-    const auto it = groups_.find(group);
-    return it == groups_.end() ? std::size_t{0} : it->second.ready;
-  };
-  while (const auto id = admission_.Next(now, ready)) {
+void Membership::AdmitWaiting(Micros now) {
+  const auto in_service = [this](int group) { return groups_.InService(group); };
+  while (const std::optional<std::string> id = admission_.AdmitNext(now, in_service)) {
     Entry& entry = *servers_.find(*id);
-    entry.second.queued_for = -1;
-    entry.second.let_in = true;
+    entry.second.queued_group.reset();
+    entry.second.admitted = true;
     ++counters_.admitted;
-    Judge(now, entry);
-  }
-}
-
-void Membership::FreeHeld(Micros now) {
-  std::set<int> short_of;
-  for (const auto& [group, count] : groups_) {
-    if (count.held > 0 && count.ready <= count.held) short_of.insert(group);
-  }
-  if (short_of.empty()) return;
-  for (Entry& entry : servers_) {
-    const bool held = entry.second.reason == Reason::kHeldDown;
-    if (held && short_of.contains(Placing(entry.second)->listed.group)) Judge(now, entry);
+    Evaluate(now, entry);
   }
 }
 
 std::optional<Micros> Membership::NextDue() const {
-  std::optional<Micros> due = admission_.NextDue();
-  if (!due_.empty() && (!due || due_.begin()->first < *due)) due = due_.begin()->first;
-  return due;
+  const std::optional<Micros> admission = admission_.NextDue();
+  const std::optional<Micros> wakeup = wakeups_.NextDue();
+  if (!admission || !wakeup) return admission ? admission : wakeup;
+  return std::min(*admission, *wakeup);
 }
 
-std::optional<Listing> Membership::TakeListing() {
+std::optional<EndpointList> Membership::TakeListing() {
   if (changes_.empty()) return std::nullopt;
-  Listing listing;
+  EndpointList listing;
   listing.version = ++version_;
   listing.servers = std::exchange(changes_, {});
   return listing;
 }
 
 std::vector<ServerView> Membership::View() const {
-  std::vector<ServerView> view;
+  std::vector<ServerView> views;
   for (const auto& [id, server] : servers_) {
-    const Claim* placing = Placing(server);
-    if (!placing) continue;
-    ServerView row{placing->listed, server.reason, {}, server.since};
-    row.listed.started_unix_ms = server.started_ms;
-    for (std::size_t i = 0; i < server.claims.size(); ++i) {
-      const Word word = server.claims[i].word;
-      if (word != Word::kNothing) row.sources.push_back((Drains(word) ? "-" : "") + sources_[i]);
+    const SourceRecord* authoritative = AuthoritativeRecord(server.records);
+    if (!authoritative) continue;
+    ServerView view{authoritative->listed, server.reason, {}, server.reason_since.value_or(0)};
+    view.listed.started_unix_ms = server.process.start_ms;
+    for (std::size_t i = 0; i < server.records.size(); ++i) {
+      const SourceState state = server.records[i].state;
+      if (state != SourceState::kUnknown) view.sources.push_back((IsDrained(state) ? "-" : "") + sources_[i]);
     }
-    view.push_back(std::move(row));
+    views.push_back(std::move(view));
   }
-  return view;
+  return views;
 }
 
 }  // namespace tulipyoke::membership
--- /dev/null
+++ b/src/server/command_executor.hpp
@@ -0,0 +1,46 @@
+// Executes the dispatcher's commands: on the servers' connections, the clients' ones, the watch on the
+// registry, the other processes of this router, and the log.
+#ifndef TULIPYOKE_SRC_SERVER_COMMAND_EXECUTOR_HPP_
+#define TULIPYOKE_SRC_SERVER_COMMAND_EXECUTOR_HPP_
+
+#include "src/discovery/registry_watch.hpp"
+#include "src/dispatch/dispatcher.hpp"
+#include "src/listener/client_listener.hpp"
+#include "src/server/hot_restart_coordinator.hpp"
+#include "src/upstream/upstream_pool.hpp"
+
+namespace tulipyoke::net {
+
+// Used on the event loop's thread only. What it is given must outlive it.
+class CommandExecutor {
+ public:
+  CommandExecutor(Dispatcher& dispatcher, UpstreamPool& pool, ClientListener& listener,
+                  discovery::RegistryWatch& registry_watch, HotRestartCoordinator& hot_restart);
+
+  // Executes all commands that there are, also those that come of executing one. To be called after each
+  // handler of the event loop: what one handler ended, the next one must not begin.
+  void ExecuteAll();
+
+ private:
+  void Execute(const StartAttempt& command);
+  void Execute(const StartProbe& command);
+  void Execute(const CancelOperation& command);
+  void Execute(const SetAddress& command);
+  void Execute(const RemoveServer& command);
+  void Execute(const CloseIdleConnections& command);
+  void Execute(const SendResponse& command);
+  void Execute(const RefreshEndpointList& command);
+  void Execute(const ReplicateToPeer& command);
+  void Execute(const WriteLog& command);
+  void Execute(const TraceStep& command);
+
+  Dispatcher& dispatcher_;
+  UpstreamPool& pool_;
+  ClientListener& listener_;
+  discovery::RegistryWatch& registry_watch_;
+  HotRestartCoordinator& hot_restart_;
+};
+
+}  // namespace tulipyoke::net
+
+#endif  // TULIPYOKE_SRC_SERVER_COMMAND_EXECUTOR_HPP_
--- a/tests/directory_test.cpp
+++ b/tests/discovery/dns_sd_discovery_test.cpp
@@ -1,4 +1,4 @@
-// The whole router with servers that it knows by DNS-SD records alone, on loopback.
+// The whole router on loopback, with servers that it knows from DNS-SD records only.
 #include <gtest/gtest.h>
 
 #include <chrono>
@@ -6,11 +6,11 @@
 #include <thread>
 
 #include "checks/rules.hpp"
-#include "src/config/directory_config.hpp"
+#include "src/config/membership_config.hpp"
 #include "standins/dns_responder.hpp"
 #include "standins/pg_client.hpp"
 #include "standins/pg_server.hpp"
-#include "tests/running.hpp"
+#include "tests/support/running_server.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -26,27 +26,27 @@
   return rules;
 }
 
-class DirectoryTest : public testing::Test {
+class DnsSdDiscoveryTest : public testing::Test {
  protected:
-  // Servers and the loop they live in go last.
-  ~DirectoryTest() override { loop_.Stop(); }
+  // Ends the servers before the loop.
+  ~DnsSdDiscoveryTest() override { loop_.Stop(); }
 
-  Running::Adjust FromRecords(const std::string& mode, nlohmann::json more = nlohmann::json::object()) {
+  RunningServer::Adjust FromRecords(const std::string& mode, nlohmann::json more = nlohmann::json::object()) {
     nlohmann::json source{{"type", "dns-sd"}, {"zone", kZone},          {"mode", mode},
                           {"look_ms", 50},    {"retry_ms", 50},         {"resolvers", {responder_.address()}},
                           {"site", "derby"},  {"least_refresh_ms", 100}};
     source.update(more);
     return [source](Config& config) {
       Settings& rules = config.settings;
-      rules.classes[0].aim = 300'000;
+      rules.classes[0].latency_objective = 300'000;
       rules.classes[0].deadline = 2'000'000;
-      rules.cold_from = 0.15;
-      rules.warm_after = 18'000'000;
-      rules.fall_multiple = 3;
-      rules.fall = 3'000'000;
-      rules.drain_grace = 2'000'000;
-      config.directory = DirectoryFrom({{"sources", {source}}}, "membership", config.settings);
-      config.known = Listing();
+      rules.slow_start_fraction = 0.15;
+      rules.slow_start_window = 18'000'000;
+      rules.overload_multiple = 3;
+      rules.overload_window = 3'000'000;
+      rules.drain_timeout = 2'000'000;
+      config.membership = ParseMembershipConfig({{"sources", {source}}}, "membership", config.settings);
+      config.cached_listing = EndpointList();
     };
   }
   standins::PgServer& AddServer(const std::string& name) {
@@ -56,7 +56,7 @@
   static standins::Published RecordsOf(const standins::PgServer& server) {
     return {server.name(), "127.0.0.1", server.port(), {"txtvers=1", "group=0"}, 10, ""};
   }
-  // Until a statement is served; the router has learnt of a server by then.
+  // Waits until a statement is served: the router has learnt of a server by then.
   std::string FirstValue(standins::PgClient& client) {
     for (int i = 0; i < 200; ++i) {
       const standins::Outcome outcome = client.Ask("any", false, 500);
@@ -72,11 +72,11 @@
   std::vector<std::unique_ptr<standins::PgServer>> servers_;
 };
 
-TEST_F(DirectoryTest, ServesFromServersKnownByRecordsAlone) {
+TEST_F(DnsSdDiscoveryTest, ServesFromServersKnownByRecordsAlone) {
   for (const char* mode : {"poll", "serial", "transfer"}) {
     standins::PgServer& server = AddServer(std::string("s-") + mode);
     responder_.Publish({RecordsOf(server)});
-    Running node({}, 256, 1, FromRecords(mode));
+    RunningServer node({}, 256, 1, FromRecords(mode));
     standins::PgClient client(node.port(), history_, mode, mode);
     EXPECT_EQ(FirstValue(client), "from " + server.name()) << node.Call("GET", "/control/servers");
     responder_.Withdraw({server.name()});
@@ -84,13 +84,13 @@
   EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
 }
 
-// The 2 s run from the answer that no longer held the record; what is running is let finish.
-TEST_F(DirectoryTest, ARecordThatVanishesDrainsItsServerAndNoRequestIsLost) {
+// The drain timeout of 2 s runs from the answer without the record; running statements are finished.
+TEST_F(DnsSdDiscoveryTest, ARecordThatVanishesDrainsItsServerAndNoRequestIsLost) {
   standins::PgServer& going = AddServer("going");
   standins::PgServer& staying = AddServer("staying");
   for (standins::PgServer* server : {&going, &staying}) server->Behave({.service = 60'000});
   responder_.Publish({RecordsOf(going), RecordsOf(staying)});
-  Running node({}, 256, 1, FromRecords("serial"));
+  RunningServer node({}, 256, 1, FromRecords("serial"));
   standins::PgClient first(node.port(), history_, "n1", "first");
   FirstValue(first);
   standins::PgCrowd crowd(node.port(), history_, "n1", 6, "any");
@@ -111,24 +111,24 @@
   EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
 }
 
-// 200 cold servers in one answer, three routers: none is pushed over, the warm ones serve on, and connections
-// come at a pace.
-TEST_F(DirectoryTest, AFloodOfColdServersIsPushedOverByNoneOfThreeRouters) {
+// 200 servers that are warming up come in one answer, to three routers: none is overloaded, the warm ones go
+// on serving, and connections are limited in rate.
+TEST_F(DnsSdDiscoveryTest, AFloodOfColdServersIsPushedOverByNoneOfThreeRouters) {
   standins::PgServer& warm = AddServer("warm");
   responder_.Publish({RecordsOf(warm)});
   const auto adjust = FromRecords("transfer");
   const auto three = [&](Config& config) {
     adjust(config);
-    config.settings.classes[0].aim = 1'000'000;  // a busy machine turns nobody away
-    config.settings.gateways = 3;
-    config.settings.may_probe = true;
-    config.settings.reports = ReportVia::kProbe;
+    config.settings.classes[0].latency_objective = 1'000'000;  // a busy machine turns nobody away
+    config.settings.router_count = 3;
+    config.settings.health_checks_allowed = true;
+    config.settings.load_report_source = LoadReportSource::kHealthChecks;
     config.settings.report_fields = {"x0", "x1", "util"};
   };
-  std::vector<std::unique_ptr<Running>> nodes;
+  std::vector<std::unique_ptr<RunningServer>> nodes;
   std::vector<std::unique_ptr<standins::PgCrowd>> crowds;
   for (int i = 0; i < 3; ++i) {
-    nodes.push_back(std::make_unique<Running>(std::vector<std::uint16_t>(), 256, 1, three));
+    nodes.push_back(std::make_unique<RunningServer>(std::vector<std::uint16_t>(), 256, 1, three));
     const std::string name = "n" + std::to_string(i);
     standins::PgClient first(nodes.back()->port(), history_, name, name + "-first");
     ASSERT_EQ(FirstValue(first), "from warm");
@@ -160,11 +160,11 @@
   EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
 }
 
-TEST_F(DirectoryTest, FlappingRecordsLoseNoRequestAndMakeNoStormOfProbes) {
+TEST_F(DnsSdDiscoveryTest, FlappingRecordsLoseNoRequestAndMakeNoStormOfProbes) {
   standins::PgServer& steady = AddServer("steady");
   standins::PgServer& flaps = AddServer("flaps");
   responder_.Publish({RecordsOf(steady), RecordsOf(flaps)});
-  Running node({}, 256, 1, FromRecords("serial"));
+  RunningServer node({}, 256, 1, FromRecords("serial"));
   standins::PgClient first(node.port(), history_, "n1", "first");
   FirstValue(first);
   standins::PgCrowd crowd(node.port(), history_, "n1", 4, "any");
@@ -182,11 +182,11 @@
   EXPECT_EQ(ToText(checks::Check(history_.Events(), Rules())), "");
 }
 
-// Guards against a resolver's silence or nonsense taking servers away.
-TEST_F(DirectoryTest, TheListHoldsThroughSilenceAndNonsense) {
+// Guards against servers that are lost because a resolver is silent or answers nonsense.
+TEST_F(DnsSdDiscoveryTest, TheListHoldsThroughSilenceAndNonsense) {
   standins::PgServer& server = AddServer("s");
   responder_.Publish({RecordsOf(server)});
-  Running node({}, 256, 1, FromRecords("poll"));
+  RunningServer node({}, 256, 1, FromRecords("poll"));
   standins::PgClient client(node.port(), history_, "n1", "c");
   FirstValue(client);
   for (const auto fault : {standins::DnsFault::kSilent, standins::DnsFault::kGarbage,
--- /dev/null
+++ b/tests/endpoints/endpoint_table_test.cpp
@@ -0,0 +1,64 @@
+// Servers and groups as the endpoint list and the observed roles tell them.
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "src/endpoints/warm_rates.hpp"
+#include "tests/endpoints/endpoint_fixture.hpp"
+
+namespace tulipyoke::endpoints {
+namespace {
+
+using EndpointTableTest = EndpointFixture;
+
+TEST_F(EndpointTableTest, AServerThatJoinsIsCheckedAndWarmsUp) {
+  Apply(EndpointListKind::kCached, {Ready(1, true)});
+  EXPECT_TRUE(actions_.empty());
+  EXPECT_EQ(table_.At(1).slow_start_from, kNever);
+  Apply(EndpointListKind::kDelta, {Ready(2)});
+  ASSERT_EQ(Only<CheckHealth>(actions_).size(), 1u);
+  EXPECT_EQ(Only<CheckHealth>(actions_)[0].server, 2u);
+  EXPECT_EQ(table_.At(2).slow_start_from, now_);
+  EXPECT_TRUE(IsWarm(context_, table_.At(1), now_));
+  EXPECT_FALSE(IsWarm(context_, table_.At(2), now_));
+}
+
+TEST_F(EndpointTableTest, AFullListClosesWhatItLeavesOut) {
+  Apply(EndpointListKind::kCached, {Ready(1, true), Ready(2), Ready(3)});
+  Apply(EndpointListKind::kFull, {Ready(1, true), WithState(3, ServerState::kDraining)});
+  EXPECT_TRUE(table_.At(1).open);
+  EXPECT_FALSE(table_.At(2).open);
+  EXPECT_FALSE(table_.At(3).open);
+  EXPECT_EQ(table_.most_open(), 3u);
+  Apply(EndpointListKind::kDelta, {WithState(9, ServerState::kGone)});
+  EXPECT_EQ(table_.Find(9), nullptr);
+}
+
+TEST_F(EndpointTableTest, AnObservedPrimaryHoldsAgainstAListedOne) {
+  Apply(EndpointListKind::kCached, {Ready(1, true), Ready(2), Ready(3)});
+  EXPECT_EQ(table_.GroupAt(0).primary, 1u);
+  table_.ObserveRole(table_.At(3), Role::kPrimary, now_);
+  EXPECT_EQ(table_.GroupAt(0).primary, 3u);
+  table_.ObserveRole(table_.At(2), Role::kPrimary, now_ - kSecond);  // from before the switch
+  EXPECT_EQ(table_.GroupAt(0).primary, 3u);
+  table_.ObserveRole(table_.At(3), Role::kReplica, now_ - 1);  // older than what is known
+  EXPECT_EQ(table_.GroupAt(0).primary, 3u);
+  table_.ObserveRole(table_.At(3), Role::kReplica, now_ + 1);
+  EXPECT_EQ(table_.GroupAt(0).primary, 2u);
+}
+
+TEST_F(EndpointTableTest, AGoneServerIsDroppedOnceNothingIsInFlightThere) {
+  Apply(EndpointListKind::kCached, {Ready(1), Ready(2)});
+  table_.NoteOpenServers(now_);
+  Apply(EndpointListKind::kDelta, {WithState(1, ServerState::kGone), WithState(2, ServerState::kGone)});
+  table_.At(2).in_flight.Add({.id = 7});
+  table_.DropGoneServers(now_ + 2 * kSecond);
+  EXPECT_NE(table_.Find(1), nullptr);
+  table_.DropGoneServers(now_ + 2 * kSecond + 1);
+  EXPECT_EQ(table_.Find(1), nullptr);
+  EXPECT_NE(table_.Find(2), nullptr);
+  EXPECT_EQ(table_.GroupAt(0).members, std::vector<ServerId>{2});
+}
+
+}  // namespace
+}  // namespace tulipyoke::endpoints
--- a/tests/leaving_test.cpp
+++ b/tests/listener/leaving_test.cpp
@@ -10,9 +10,9 @@
 #include <thread>
 #include <vector>
 
-#include "src/net/front.hpp"
-#include "tests/rig.hpp"
-#include "tests/running.hpp"
+#include "src/listener/client_listener.hpp"
+#include "tests/dispatch/router_harness.hpp"
+#include "tests/support/running_server.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -27,10 +27,10 @@
 
 class Leaving : public testing::Test {
  protected:
-  static bool NothingOut(Running& node) {
+  static bool NothingOut(RunningServer& node) {
     return node.Call("GET", "/control/counters").find("in_progress=0\n") != std::string::npos;
   }
-  static bool Out(Running& node, int requests) {
+  static bool Out(RunningServer& node, int requests) {
     return node.Call("GET", "/control/counters").find("in_progress=" + std::to_string(requests) + "\n") !=
            std::string::npos;
   }
@@ -43,8 +43,8 @@
     tcp::acceptor acceptor(io, Loopback(0));
     std::vector<tcp::socket> held;
     {
-      Running node({acceptor.local_endpoint().port()}, sockets, 1, [](Config& config) {
-        config.settings.classes[0].effect = Effect::kUnsafe;
+      RunningServer node({acceptor.local_endpoint().port()}, sockets, 1, [](Config& config) {
+        config.settings.classes[0].idempotency = Idempotency::kNone;
         config.connect_timeout = 20'000'000;
       });
       std::vector<Peer> peers;
@@ -58,7 +58,7 @@
       while (!NothingOut(node)) std::this_thread::yield();
       std::string hello;
       pg::AppendAuthenticationOk(hello);
-      pg::AppendReady(hello);
+      pg::AppendReadyForQuery(hello);
       for (tcp::socket& socket : held) {
         std::error_code ignored;
         asio::write(socket, asio::buffer(hello), ignored);
@@ -98,8 +98,8 @@
     return Row("v");
   });
   {
-    Running node({server.port()}, 64, 1,
-                 [](Config& config) { config.settings.classes[0].effect = Effect::kUnsafe; });
+    RunningServer node({server.port()}, 64, 1,
+                       [](Config& config) { config.settings.classes[0].idempotency = Idempotency::kNone; });
     std::string more;
     for (int i = 0; more.size() < 150'000; ++i) more += Ask("m" + std::to_string(i));
     Peer client = node.Session();
@@ -123,7 +123,7 @@
     if (first) const std::lock_guard wait(gate);
     return Row(first ? "late" : "in time");
   });
-  Running node({server.port()});
+  RunningServer node({server.port()});
   Peer first = node.Session(), further = node.Session();
   first.Write(Ask("first"));
   while (server.queries().empty()) std::this_thread::yield();
@@ -132,55 +132,56 @@
   gate.unlock();
   const Messages behind = first.UntilReady();
   ASSERT_EQ(before.size(), 4u);
-  EXPECT_EQ(pg::ParseSingleColumn(before[1].second), "in time");
+  EXPECT_EQ(*pg::ParseSingleColumn(before[1].second), "in time");
   ASSERT_EQ(behind.size(), 4u);
-  EXPECT_EQ(pg::ParseSingleColumn(behind[1].second), "late");
+  EXPECT_EQ(*pg::ParseSingleColumn(behind[1].second), "late");
 }
 
 // Guards against a request whose attempt could not connect and that is sent again after its client has left;
 // the one beside it shows that there was a further try to be had.
 TEST_F(Leaving, WhileItIsHeldForAFurtherTry) {
-  Settings settings = Rig::OneClass(Effect::kUnsafe);
-  settings.classes[0].aim = 800'000;
-  HeldServer server;
-  Rig rig(settings);
-  rig.Know({Rig::Listed("a", server.port())});
-  const RequestId id = rig.Ask("leaves");
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
+  Settings settings = RouterHarness::SingleClassSettings(Idempotency::kNone);
+  settings.classes[0].latency_objective = 800'000;
+  ManualServer server;
+  RouterHarness harness(settings);
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const RequestId id = harness.Submit("leaves");
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
   server.sockets[0].close();
-  ASSERT_TRUE(rig.Until([&] { return rig.outcomes(Status::kConnectFailed) == 1; }));
-  const RequestId stays = rig.Ask("stays");
-  EXPECT_EQ(rig.exchange.counters().attempts, 1u);  // both are held
-  rig.Leave(id);
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  server.Greet(1);
-  ASSERT_TRUE(rig.Until([&] { return server.Got(1, "stays"); }));
-  server.Say(1, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.Served(stays); }));
-  EXPECT_EQ(rig.exchange.counters().attempts, 2u);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.attempt_outcomes(Status::kConnectFailed) == 1; }));
+  const RequestId stays = harness.Submit("stays");
+  EXPECT_EQ(harness.dispatcher.counters().attempts, 1u);  // both are held
+  harness.Disconnect(id);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  server.CompleteStartup(1);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(1, "stays"); }));
+  server.Send(1, Row("v"));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsServed(stays); }));
+  EXPECT_EQ(harness.dispatcher.counters().attempts, 2u);
 }
 
 // Guards against a read that waits for a replica to catch up and goes there after its client has left.
 TEST_F(Leaving, WhileItIsHeldForCatchUp) {
-  Settings settings = Rig::OneClass(Effect::kSafe);
+  Settings settings = RouterHarness::SingleClassSettings(Idempotency::kIdempotent);
   settings.classes[0].freshness = Freshness::kSession;
-  settings.classes[0].aim = 800'000;
+  settings.classes[0].latency_objective = 800'000;
   settings.token_mode = TokenMode::kCarried;
-  HeldServer server;
-  Rig rig(settings);
-  rig.Know({Rig::Listed("a", server.port())});
-  const std::int64_t now = rig.clock.Now() / 1000;
-  const RequestId id = rig.Ask("leaves", 20'000'000, now - 1000);
-  const RequestId stays = rig.Ask("stays", 20'000'000, now - 1000);
-  EXPECT_EQ(rig.exchange.counters().attempts, 0u);
-  rig.Leave(id);
-  rig.exchange.Learn(rig.clock.Now(), ServerNews{"a", Role::kReplica, rig.clock.Now(), now - 500});
-  ASSERT_TRUE(rig.Until([&] { return server.Came(); }));
-  server.Greet(0);
-  ASSERT_TRUE(rig.Until([&] { return server.Got(0, "stays"); }));
-  server.Say(0, Row("v"));
-  EXPECT_TRUE(rig.Until([&] { return rig.Served(stays); }));
-  EXPECT_EQ(rig.exchange.counters().attempts, 1u);
+  ManualServer server;
+  RouterHarness harness(settings);
+  harness.Start({RouterHarness::ListedServerAt("a", server.port())});
+  const std::int64_t now = harness.clock.Now() / 1000;
+  const RequestId id = harness.Submit("leaves", 20'000'000, now - 1000);
+  const RequestId stays = harness.Submit("stays", 20'000'000, now - 1000);
+  EXPECT_EQ(harness.dispatcher.counters().attempts, 0u);
+  harness.Disconnect(id);
+  harness.dispatcher.ApplyPeerUpdate(harness.clock.Now(),
+                                     ServerUpdate{"a", Role::kReplica, harness.clock.Now(), now - 500});
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Accept(); }));
+  server.CompleteStartup(0);
+  ASSERT_TRUE(harness.RunUntil([&] { return server.Received(0, "stays"); }));
+  server.Send(0, Row("v"));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.IsServed(stays); }));
+  EXPECT_EQ(harness.dispatcher.counters().attempts, 1u);
 }
 
 // Guards against a large statement that gets its room, and is read and sent, after its client has left: while
@@ -188,17 +189,17 @@
 TEST_F(Leaving, WhileItWaitsForRoomForALargeStatement) {
   asio::io_context io;
   LoopClock clock;
-  Exchange exchange({Rig::OneClass(Effect::kUnsafe), 1, {}, {}, 1'000'000});
-  exchange.Start(clock.Now(), Listing{1, true, {}});
-  const Service service;
-  ClientFront front(io, clock, exchange, service, {Loopback(0), {100, 100, 100, 1 << 20, 1 << 20}});
-  front.StartAccepting();
+  Dispatcher dispatcher({RouterHarness::SingleClassSettings(Idempotency::kNone), 1, {}, {}, 1'000'000});
+  dispatcher.Start(clock.Now(), EndpointList{1, true, {}});
+  const ServingState service;
+  ClientListener listener(io, clock, dispatcher, service, {Loopback(0), {100, 100, 100, 1 << 20, 1 << 20}});
+  listener.StartAccepting();
   const std::string large = Query(std::string(900'000, 'x'));
   std::vector<Peer> peers;
   for (const auto& leave : {CloseWhole, Reset, HalfClose}) {
     while (peers.size() < 2) {
       tcp::socket socket(io);
-      socket.connect(Loopback(front.port()));
+      socket.connect(Loopback(listener.port()));
       peers.emplace_back(std::move(socket), false);
       std::string hello;
       pg::AppendStartup(hello, "api", "ledger");
@@ -208,15 +209,15 @@
     }
     leave(peers.back());
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    while (front.clients() == 2 && std::chrono::steady_clock::now() < end) {
+    while (listener.clients() == 2 && std::chrono::steady_clock::now() < end) {
       peers.front().Write("x");  // so that it is not let go itself, and its room with it
-      clock.NewTurn();
+      clock.BeginIteration();
       io.run_one_for(std::chrono::milliseconds(20));
     }
-    EXPECT_EQ(front.clients(), 1u);
+    EXPECT_EQ(listener.clients(), 1u);
     peers.pop_back();
   }
-  front.Stop();
+  listener.Stop();
 }
 
 }  // namespace
--- a/tests/pipelining_test.cpp
+++ b/tests/listener/pipelining_test.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-#include "tests/running.hpp"
+#include "tests/support/running_server.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -32,7 +32,7 @@
 }
 std::string ValueOf(const Messages& answer) {
   for (const auto& [type, body] : answer) {
-    if (type == 'D') return std::string(pg::ParseSingleColumn(body));
+    if (type == 'D') return std::string(*pg::ParseSingleColumn(body));
   }
   return "";
 }
@@ -68,7 +68,7 @@
   void UntilAsked(const std::string& id) {
     while (!Contains(server_.queries(), id)) std::this_thread::yield();
   }
-  static bool InProgress(Running& node, int requests) {
+  static bool InProgress(RunningServer& node, int requests) {
     return node.Call("GET", "/control/counters").find("in_progress=" + std::to_string(requests) + "\n") !=
            std::string::npos;
   }
@@ -81,7 +81,7 @@
 // Guards against a slow request that takes the time of those behind it: they run beside it. The answers come
 // in the order of the statements.
 TEST_F(Pipelining, IndependentStatementsRunSideBySideAndAreAnsweredInOrder) {
-  Running node({server_.port()}, kManyDescriptors);
+  RunningServer node({server_.port()}, kManyDescriptors);
   Peer client = node.Session();
   client.Write(Ask("held") + Ask("second") + Query("SET a = 1") + Ask("third"));
   UntilAsked("second");
@@ -99,7 +99,7 @@
 // Guards against time that counts from when a statement is taken up: what came while another was being
 // answered, and whose time is over since, is rejected without an attempt.
 TEST_F(Pipelining, TimeCountsFromTheArrivalOfTheLastByte) {
-  Running node({server_.port()}, kFewDescriptors);
+  RunningServer node({server_.port()}, kFewDescriptors);
   Peer client = node.Session();
   client.Write(Ask("held") + AskWithin("late", 20) + Ask("next"));
   UntilAsked("held");
@@ -119,16 +119,16 @@
   own.freshness = Freshness::kSession;
   write.name = "write";
   write.freshness = Freshness::kWrite;
-  write.effect = Effect::kKeyed;
-  write.repeat_window = 20'000'000;
+  write.idempotency = Idempotency::kWithKey;
+  write.retry_window = 20'000'000;
   config.settings.classes.push_back(own);
   config.settings.classes.push_back(write);
-  config.settings.guards = Guards::kRefuse;
+  config.settings.staleness_guard = StalenessGuard::kReject;
 }
 
 // Guards against a read that overtakes its session's write, and against one of another session that waits.
 TEST_F(Pipelining, AReadBehindAWriteOfItsSessionSeesIt) {
-  Running node({server_.port()}, kManyDescriptors, 1, WithSessions);
+  RunningServer node({server_.port()}, kManyDescriptors, 1, WithSessions);
   Peer client = node.Session();
   client.Write(WriteOf("a", "held-write") + ReadOf("a", "after") + Ask("other"));
   UntilAsked("held-write");
@@ -154,8 +154,8 @@
   asio::io_context io;
   tcp::acceptor acceptor(io, Loopback(0));  // no connection to it ever gets ready
   for (const auto& leave : ways) {
-    Running node({acceptor.local_endpoint().port()}, kManyDescriptors, 1, [](Config& config) {
-      config.settings.classes[0].effect = Effect::kUnsafe;
+    RunningServer node({acceptor.local_endpoint().port()}, kManyDescriptors, 1, [](Config& config) {
+      config.settings.classes[0].idempotency = Idempotency::kNone;
       config.connect_timeout = 20'000'000;
     });
     Peer client = node.Session();
@@ -169,7 +169,7 @@
 // Guards against a client that sends on for ever and reads nothing: what it may have open and unread is
 // bounded, and others are served beside it.
 TEST_F(Pipelining, WhoNeverReadsHoldsLittleAndStarvesNobody) {
-  Running node({server_.port()}, kManyDescriptors);
+  RunningServer node({server_.port()}, kManyDescriptors);
   Peer flood = node.Session(), other = node.Session();
   flood.socket().non_blocking(true);
   std::string more;
@@ -195,7 +195,7 @@
 
 // Guards against one connection that takes all of what may be open.
 TEST_F(Pipelining, OneConnectionHasButAPartOfTheOpenRequests) {
-  Running node({server_.port()}, kManyDescriptors);
+  RunningServer node({server_.port()}, kManyDescriptors);
   Peer flood = node.Session(), other = node.Session();
   std::string more;
   for (int i = 0; i < 200; ++i) more += Ask("held" + std::to_string(i));
@@ -210,7 +210,7 @@
 
 // Guards against last words that overtake answers, and against an end that takes them along.
 TEST_F(Pipelining, WhatEndsTheConnectionComesBehindTheAnswers) {
-  Running node({server_.port()}, kManyDescriptors);
+  RunningServer node({server_.port()}, kManyDescriptors);
   Peer nonsense = node.Session(), terminates = node.Session();
   nonsense.Write(Ask("held1") + Ask("2") + std::string("?\0\0\0\4", 5) + Ask("3"));
   terminates.Write(Ask("held4") + Ask("5") + std::string("X\0\0\0\4", 5));
@@ -236,7 +236,7 @@
     if (query.find("id=held") != std::string::npos) const std::lock_guard wait(gate);
     return Row("small");
   });
-  Running node({server.port()}, kManyDescriptors);
+  RunningServer node({server.port()}, kManyDescriptors);
   Peer client = node.Session();
   client.Write(Ask("held") + Ask("large") + Ask("last"));
   while (server.queries().size() < 3) std::this_thread::yield();
