Split the client listener by concern, with typed errors

StatementError and ReadTimeout replace reasons as const char*; the texts sent are the same. Names follow the terms of the field; functions of over 60 lines are split.

--- /dev/null
+++ b/src/listener/client_io.cpp
@@ -0,0 +1,259 @@
+// Reading from and writing to client connections, and closing them.
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+#include "src/listener/client_connection.hpp"
+#include "src/listener/client_listener.hpp"
+#include "src/pg/message_writer.hpp"
+#include "src/pg/session_command.hpp"
+#include "src/pg/statement.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+// Bytes read ahead of a pending response; beyond them reading pauses.
+constexpr std::size_t kMaxReadAhead = 65536;
+// Bytes of responses that a client has not read yet; beyond them its next statements wait.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{16} << 10;
+// Bytes of responses of one client that wait for an earlier one; beyond them its next statements wait.
+constexpr std::size_t kMaxRetainedBytes = std::size_t{64} << 10;
+// Once one part in so many of the allowed open requests is used, no client gets a second one beside its
+// first.
+constexpr std::size_t kPipelinedDivisor = 2;
+// Messages of one client processed per turn of the event loop, so that others are not delayed.
+constexpr int kMaxMessagesPerTurn = 16;
+// Bytes discarded of a client that goes on sending behind the end of its session; then reading pauses.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} << 10;
+
+}  // namespace
+
+void ClientListener::Read(const ConnectionPtr& client) {
+  if (client->reading || client->closed) return;
+  client->reading = true;
+  client->socket.async_read_some(asio::buffer(client->input),
+                                 [this, client](std::error_code error, std::size_t size) {
+                                   client->reading = false;
+                                   if (client->closed) return;
+                                   if (error) return Close(client);
+                                   if (client->closing || client->input_ended) {
+                                     // Only its close is awaited; one that sends on is not read for ever.
+                                     client->discarded_bytes += size;
+                                     if (client->discarded_bytes < kMaxDiscardedBytes) Read(client);
+                                     return;
+                                   }
+                                   client->last_active = clock_.Now();
+                                   if (client->reader.buffered() == 0) client->message_since = clock_.Now();
+                                   client->reader.Feed(std::string_view(client->input.data(), size));
+                                   client->arrivals.Add(size, clock_.Now());
+                                   ProcessInput(client);
+                                 });
+}
+
+bool ClientListener::MayProcessNext(const ClientConnection& client) const {
+  if (client.closing || client.closed || client.input_ended || client.unsent() >= kMaxUnsentBytes)
+    return false;
+  if (!client.has_pending_responses()) return true;
+  // Further requests beside the first one only as far as enough is left for other clients.
+  return client.open_requests < options_.limits.most_pipelined && client.retained_bytes < kMaxRetainedBytes &&
+         retained_bytes_ < options_.limits.most_buffered &&
+         kPipelinedDivisor * clients_by_request_.size() < options_.limits.most_open;
+}
+
+void ClientListener::ProcessInput(const ConnectionPtr& client) {
+  if (client->processing_scheduled || client->closed) return;
+  FlushResponses(client);
+  ProcessMessages(client);
+  if (client->closed) return;
+  const bool output_full = client->unsent() >= kMaxUnsentBytes;
+  const bool reserved = ReserveStatement(client);
+  const bool crowded = CountUnread(client);
+  if (crowded && !client->has_pending_responses() && !client->closing) {
+    ++counters_.rejected;
+    CloseWithError(client, "53300", "too much is waiting to be read");
+  }
+  // Closed right behind its response, so that no next request crosses the close.
+  if (serving_state_.draining() && client->has_sent_message && IsIdle(*client)) return ShutDownWrite(client);
+  Write(client);
+  if (client->closed) return;
+  const bool output_drained = client->unsent() < kMaxUnsentBytes;
+  // Messages that waited while responses were unsent.
+  if (output_full && output_drained && client->reader.buffered() > 0) ScheduleProcessing(client);
+  if (!reserved) return;
+  // A complete message may be larger than what is read ahead of a response.
+  const bool needs_more = !client->has_pending_responses() && output_drained;
+  const bool may_read_ahead = output_drained && !crowded && client->reader.buffered() < kMaxReadAhead;
+  if (needs_more || may_read_ahead) Read(client);
+}
+
+void ClientListener::ProcessMessages(const ConnectionPtr& client) {
+  for (int processed = 0; MayProcessNext(*client); ++processed) {
+    if (processed == kMaxMessagesPerTurn) {
+      ScheduleProcessing(client);
+      break;
+    }
+    const std::size_t before = client->reader.buffered();
+    const std::optional<pg::Message> message = client->reader.Next();
+    if (!message) break;
+    client->message_arrived = client->arrivals.Take(before - client->reader.buffered());
+    client->message_since = clock_.Now();
+    if (message->type == '\0' && !client->started) {
+      OnStartup(client, message->body);
+    } else {
+      OnMessage(client, message->type, message->body);
+    }
+  }
+  if (const std::optional<pg::ProtocolError> error = client->reader.error()) OnProtocolError(client, *error);
+}
+
+bool ClientListener::CountUnread(const ConnectionPtr& client) {
+  const bool uncounted = client->closing || client->statement_reservation;
+  const std::size_t unread = uncounted ? 0 : client->reader.buffered();
+  unread_bytes_ += unread - client->unread_bytes;
+  client->unread_bytes = unread;
+  return unread_bytes_ > options_.limits.most_buffered && unread > kReadSize;
+}
+
+bool ClientListener::ReserveStatement(const ConnectionPtr& client) {
+  const std::size_t wanted = !client->has_pending_responses() && !client->closing
+                                 ? client->reader.PendingMessageSize().value_or(0)
+                                 : 0;
+  if (wanted <= pg::kMaxMessageSize) {
+    client->statement_reservation.reset();
+    return true;
+  }
+  if (client->statement_reservation) return true;
+  // Whoever waits longer goes first.
+  if (awaiting_reservation_.empty() || client->awaits_reservation)
+    client->statement_reservation = statement_budget_.Reserve(wanted);
+  if (client->statement_reservation) {
+    client->reader.Reserve(wanted);
+  } else if (!std::exchange(client->awaits_reservation, true)) {
+    awaiting_reservation_.push_back(client);
+  }
+  return client->statement_reservation != nullptr;
+}
+
+void ClientListener::OnReservationReleased() {
+  reservation_check_posted_ = false;
+  while (!awaiting_reservation_.empty()) {
+    const ConnectionPtr client = awaiting_reservation_.front().lock();
+    if (client && !client->closed && !client->closing) {
+      if (!ReserveStatement(client)) return;
+      client->last_active = clock_.Now();
+      Read(client);
+    }
+    if (client) client->awaits_reservation = false;
+    awaiting_reservation_.pop_front();
+  }
+}
+
+void ClientListener::ScheduleProcessing(const ConnectionPtr& client) {
+  if (client->processing_scheduled) return;
+  client->processing_scheduled = true;
+  asio::post(io_, [this, client] {
+    client->processing_scheduled = false;
+    if (!client->closed) ProcessInput(client);
+  });
+}
+
+bool ClientListener::HasDisconnected(ClientConnection& client) {
+  pollfd look{client.socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+// At once, as far as the socket takes it. The last words leave in one piece with the end of the stream: a
+// client that had them first could ask again in between.
+void ClientListener::Write(const ConnectionPtr& client) {
+  if (client->writing || client->closed) return;
+  if (!client->output.empty()) {
+    const int flags = MSG_DONTWAIT | MSG_NOSIGNAL | (client->closing ? MSG_MORE : 0);
+    const ssize_t sent =
+        ::send(client->socket.native_handle(), client->output.data(), client->output.size(), flags);
+    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) return Close(client);
+    if (sent > 0) client->last_active = clock_.Now();
+    client->output.erase(0, static_cast<std::size_t>(std::max<ssize_t>(sent, 0)));
+  }
+  if (client->output.empty()) {
+    if (client->closing && !client->write_shut_down) ShutDownWrite(client);
+    return;
+  }
+  client->writing = true;
+  client->output_in_flight.swap(client->output);
+  client->output.clear();
+  asio::async_write(client->socket, asio::buffer(client->output_in_flight),
+                    [this, client](std::error_code error, std::size_t) {
+                      client->writing = false;
+                      if (client->closed) return;
+                      if (error) return Close(client);
+                      client->output_in_flight.clear();
+                      client->output_in_flight.shrink_to_fit();
+                      client->last_active = clock_.Now();
+                      if (client->has_pending_responses() && client->pending_responses.front().stream &&
+                          !ForwardStream(client))
+                        return;
+                      ProcessInput(client);
+                    });
+}
+
+void ClientListener::OnProtocolError(const ConnectionPtr& client, pg::ProtocolError error) {
+  ++counters_.malformed;
+  CloseWithError(client, "08P01", pg::ToText(error));
+}
+
+void ClientListener::CloseWithError(const ConnectionPtr& client, std::string_view code,
+                                    std::string_view message, std::string_view detail) {
+  if (client->closing || client->closed || client->input_ended) return;
+  client->statement_reservation.reset();
+  client->reader = pg::MessageReader(false);  // what it has sent is not kept while it takes its leave
+  client->arrivals = {};
+  std::string last_words;
+  pg::AppendError(last_words, "FATAL", code, message, detail);
+  if (client->has_pending_responses()) {
+    // Behind the responses that are pending.
+    Respond(*client, last_words);
+    client->pending_responses.back().closes_connection = true;
+    client->input_ended = true;
+    return;
+  }
+  client->closing = true;
+  client->closing_since = clock_.Now();
+  client->output += last_words;
+  Write(client);
+}
+
+// Sends the end of the stream and waits for the client's: closing at once could destroy what it has not read.
+void ClientListener::ShutDownWrite(const ConnectionPtr& client) {
+  if (!client->closing) client->closing_since = clock_.Now();
+  client->closing = true;
+  if (client->writing || !client->output.empty()) return Write(client);
+  client->write_shut_down = true;
+  std::error_code ignored;
+  client->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Read(client);
+}
+
+void ClientListener::Close(const ConnectionPtr& client) {
+  if (client->closed) return;
+  client->closed = true;
+  std::error_code ignored;
+  client->socket.close(ignored);
+  unread_bytes_ -= std::exchange(client->unread_bytes, 0);
+  client->statement_reservation.reset();
+  retained_bytes_ -= std::exchange(client->retained_bytes, 0);
+  // The last request first: one that waits for an earlier one must not start as that ends.
+  for (auto pending = client->pending_responses.rbegin(); pending != client->pending_responses.rend();
+       ++pending) {
+    if (!pending->is_open()) continue;
+    const RequestId request = pending->request;
+    FinishRequest(*client, *pending);
+    dispatcher_.ClientDisconnected(clock_.Now(), request);
+  }
+  client->pending_responses.clear();
+  clients_.erase(ConnectionPtr(client));
+}
+
+}  // namespace tulipyoke::net
--- a/src/listener/client_listener.hpp
+++ b/src/listener/client_listener.hpp
@@ -1,4 +1,4 @@
-// The clients' side: accepts connections, reads requests and writes their final answers.
+// The client side: accepts connections, reads requests and sends the responses in the order of the requests.
 #ifndef TULIPYOKE_SRC_LISTENER_CLIENT_LISTENER_HPP_
 #define TULIPYOKE_SRC_LISTENER_CLIENT_LISTENER_HPP_
 
@@ -16,7 +16,9 @@
 #include "src/dispatch/dispatcher.hpp"
 #include "src/event_loop/cancellable_timer.hpp"
 #include "src/event_loop/loop_clock.hpp"
+#include "src/listener/read_timeout.hpp"
 #include "src/listener/statement_budget.hpp"
+#include "src/listener/statement_error.hpp"
 #include "src/pg/message_parser.hpp"
 #include "src/pg/message_reader.hpp"
 #include "src/pg/message_writer.hpp"
@@ -29,110 +31,133 @@
 
 struct ListenerLimits {
   std::size_t most_clients = 0;
-  // Requests; clients may hold no more connections for them than a third of the descriptors.
+  // Open requests; clients may hold no more connections for them than a third of the descriptors.
   std::size_t most_open = 0;
-  std::size_t kept_clients = 0;      // from so many on each new one takes the place of an idle one
-  std::size_t most_buffered = 0;     // bytes of all clients together: unread ones, and as many under way
-  std::size_t large_statements = 0;  // bytes of those that room is set aside for
-  // Requests of one connection that are open at the same time; what follows waits until one of them ends.
+  std::size_t kept_clients = 0;      // from this number on a new client replaces an idle one
+  std::size_t most_buffered = 0;     // bytes of all clients: unread ones, and as many in flight
+  std::size_t large_statements = 0;  // bytes reserved for large statements
+  // Open requests of one connection; statements behind them wait until one of them ends.
   std::size_t most_pipelined = 1;
 };
 
 struct ListenerOptions {
   asio::ip::tcp::endpoint listen;
   ListenerLimits limits;
-  int accept_fd = -1;  // a listening socket that is held for all processes of this router
-  // Called before each request is handed in: another process may have told something that it depends on.
+  int accept_fd = -1;  // a listening socket that all processes of this router share; -1: none
+  // Called before each request is submitted: another process may have sent an update that it depends on.
   std::function<void()> before_request = [] {};
 };
 
+// Connections: accepted, rejected for want of places, closed to make place, closed as idle, closed for
+// sending nothing complete in time. Messages that could not be read or used. Failures to accept.
 struct ListenerCounters {
-  std::uint64_t accepted = 0, turned_away = 0, shed = 0, idle = 0, silent = 0;
+  std::uint64_t accepted = 0, rejected = 0, evicted = 0, idle = 0, silent = 0;
   std::uint64_t malformed = 0, accept_errors = 0;
 };
 
+struct ClientConnection;
+struct PendingResponse;
+
+// Thread: the event loop's only. Outlives its connections, which hold no reference to it.
 class ClientListener {
  public:
-  // Throws std::runtime_error where the address cannot be listened on.
+  // Throws std::runtime_error if the address cannot be listened on.
   ClientListener(asio::io_context& io, LoopClock& clock, Dispatcher& dispatcher,
                  const ServingState& serving_state, const ListenerOptions& options);
   ~ClientListener();
 
-  void Deliver(RequestId id, const Response& answer);
+  // The dispatcher's response to a request; ignored if its client has disconnected.
+  void Deliver(RequestId id, const Response& response);
   void StartAccepting();
-  // What has connected and was not taken in is left to whoever shares the listening socket.
+  // Connections that wait in the socket are left to the process that shares it.
   void PauseAccepting();
-  // Takes in what has connected already and accepts nothing more.
+  // Accepts the connections that wait in the socket, and then no more.
   void StopAccepting();
-  void Resize(const ListenerLimits& limits);
-  // The last word to all whose request has not come whole: from here on none can be served any more.
-  void Dismiss();
-  bool Owes(Micros patience) const;
+  // New limits, while another process of this router runs or once it has ended.
+  void SetLimits(const ListenerLimits& limits);
+  // Rejects all clients whose request has not arrived completely: none can be served any more.
+  void RejectIncomplete();
+  // Whether a client still waits for a response, for the end of one, or for at most `patience` to complete
+  // what it has begun to send.
+  bool HasUnfinishedClients(Micros patience) const;
   void Stop();
-  // Closes an idle client, if there is one that has been idle for so long.
-  bool ShedIdle(Micros least_idle = 0);
+  // Closes a client that has been idle for `least_idle` at least; false: there is none.
+  bool EvictIdle(Micros least_idle = 0);
 
   std::size_t clients() const { return clients_.size(); }
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   const ListenerCounters& counters() const { return counters_; }
 
  private:
-  struct Client;
-  struct Reply;
-  using ClientPtr = std::shared_ptr<Client>;
+  using ConnectionPtr = std::shared_ptr<ClientConnection>;
   using ClassNames = std::unordered_map<std::string, int>;
 
   void Accept();
-  void Admit(asio::ip::tcp::socket socket);
-  void Read(const ClientPtr& client);
-  void Process(const ClientPtr& client);
-  void ProcessLater(const ClientPtr& client);
-  // Sets room aside for a large statement that has begun to come; false: it has to wait for it, unread.
-  bool MakeRoom(const ClientPtr& client);
-  void OnRoom();
-  // Why the client is let go now; null: it is not.
-  const char* TooLate(const Client& client) const;
-  void OnStartup(const ClientPtr& client, std::string_view body);
-  void OnMessage(const ClientPtr& client, char type, std::string_view body);
-  void OnQuery(const ClientPtr& client, std::string_view text);
-  // Whether the next message of this client may be handled now.
-  bool MayTakeMore(const Client& client) const;
-  // Puts an answer that is complete behind all earlier ones.
-  void Respond(Client& client, std::string_view bytes);
-  Reply& AddReply(Client& client);
-  void DropFirstReply(Client& client);
-  // Counts bytes of answers that wait for earlier ones.
-  void Retain(Client& client, std::size_t size);
-  // Moves the answers that are complete, and have no open request before them, to what is sent.
-  void Flush(const ClientPtr& client);
-  // The client says that it asks nothing more.
-  void Terminate(const ClientPtr& client);
+  void AddConnection(asio::ip::tcp::socket socket);
+  void Read(const ConnectionPtr& client);
+  // Sends the responses that are complete, processes the messages that have arrived, and reads on.
+  void ProcessInput(const ConnectionPtr& client);
+  void ProcessMessages(const ConnectionPtr& client);
+  // Updates the sum of unread bytes; true: they are too many, and of this client more than one read.
+  bool CountUnread(const ConnectionPtr& client);
+  void ScheduleProcessing(const ConnectionPtr& client);
+  // Reserves memory for a large statement that has begun to arrive; false: the statement waits for it,
+  // unread.
+  bool ReserveStatement(const ConnectionPtr& client);
+  void OnReservationReleased();
+  // Why the client is disconnected now; nullopt: it is not.
+  std::optional<ReadTimeout> FindReadTimeout(const ClientConnection& client) const;
+  void OnStartup(const ConnectionPtr& client, std::string_view body);
+  void OnMessage(const ConnectionPtr& client, char type, std::string_view body);
+  void OnQuery(const ConnectionPtr& client, std::string_view text);
+  void OnStatement(const ConnectionPtr& client, std::string_view text);
+  void RejectStatement(const ConnectionPtr& client, StatementError error, std::optional<int> class_index);
+  // Rejects a valid statement for which there is no capacity; false: there is.
+  bool RejectForCapacity(const ConnectionPtr& client, int class_index, std::size_t statement_size);
+  void SubmitRequest(const ConnectionPtr& client, const pg::Statement& statement, int class_index,
+                     std::string_view text);
+  // Whether the next message of this client may be processed now.
+  bool MayProcessNext(const ClientConnection& client) const;
+  // Adds a complete response behind all earlier ones.
+  void Respond(ClientConnection& client, std::string_view bytes);
+  PendingResponse& AddPendingResponse(ClientConnection& client);
+  void RemoveFirstResponse(ClientConnection& client);
+  // Counts bytes of responses that wait for earlier ones.
+  void CountRetained(ClientConnection& client, std::size_t size);
+  // Moves the complete responses that have no open request before them to the output.
+  void FlushResponses(const ConnectionPtr& client);
+  // The client ends its session.
+  void OnTerminate(const ConnectionPtr& client);
   // The open request of this client whose write the one with that session key has to see.
-  static std::optional<RequestId> PrecedingWrite(const Client& client, std::uint64_t key);
-  // Its machine has said by now that it sends no more, whatever is still unread before that.
-  static bool HasLeft(Client& client);
-  std::string ReturnIn(Micros time) const;
-  const char* WhyNot(const pg::Statement* statement, const ClassNames::const_iterator& found) const;
-  // The request is over; its reply stays where it is in the order.
-  void EndRequest(Client& client, Reply& reply);
-  // Passes on what has come of a large value, where that is the next answer.
-  // True: it is through, and the answer to it is no longer in the order.
-  bool PassOn(const ClientPtr& client);
-  void Write(const ClientPtr& client);
+  static std::optional<RequestId> PrecedingWrite(const ClientConnection& client, std::uint64_t key);
+  // Whether the client has ended its sending or reset the connection, whatever is still unread before that.
+  static bool HasDisconnected(ClientConnection& client);
+  // The text of a rejection's detail: when the client may retry, at most `wanted`; empty where the settings
+  // forbid it.
+  std::string RetryAfterText(Micros wanted) const;
+  // Why the statement of that class is not accepted; nullopt: it is.
+  std::optional<StatementError> FindStatementError(const pg::Statement& statement, int class_index) const;
+  // The request is over; its response keeps its place in the order.
+  void FinishRequest(ClientConnection& client, PendingResponse& pending);
+  // Forwards what has arrived of a large value, if that is the next response. True: the response is complete
+  // and has left the order.
+  bool ForwardStream(const ConnectionPtr& client);
+  void Write(const ConnectionPtr& client);
   // Ends a connection whose client broke the protocol.
-  void OnProtocolError(const ClientPtr& client, pg::ProtocolError error);
-  // Says why, then ends the connection without losing what was said.
-  void EndWith(const ClientPtr& client, std::string_view code, std::string_view message,
-               std::string_view detail = {});
-  // Nothing is under way for it, and nothing that it sent is still to be read.
-  bool Idle(const Client& client) const;
-  void LookForIdle();
-  void Finish(const ClientPtr& client);
-  void Close(const ClientPtr& client);
-  void Sweep();
-  void ArmSweep();
-  // Closes those that have left while nothing is read of them.
-  void LookForDepartures();
+  void OnProtocolError(const ConnectionPtr& client, pg::ProtocolError error);
+  // Sends an error behind the responses that are pending, then closes the connection gracefully.
+  void CloseWithError(const ConnectionPtr& client, std::string_view code, std::string_view message,
+                      std::string_view detail = {});
+  // Whether nothing is in flight for it and nothing that it sent is unread.
+  bool IsIdle(const ClientConnection& client) const;
+  void FindEvictionCandidates();
+  void ShutDownWrite(const ConnectionPtr& client);
+  void Close(const ConnectionPtr& client);
+  void CheckTimeouts();
+  void CheckTimeouts(const ConnectionPtr& client, Micros idle_timeout);
+  void ScheduleTimeoutCheck();
+  // Closes connections whose clients have disconnected while nothing is read from them.
+  void CheckDisconnects();
 
   asio::io_context& io_;
   LoopClock& clock_;
@@ -142,24 +167,25 @@
   ListenerCounters counters_;
   asio::ip::tcp::acceptor acceptor_;
   CancellableTimer accept_pause_;
-  CancellableTimer sweep_, departures_;
-  std::unordered_set<ClientPtr> clients_;
-  std::unordered_map<RequestId, ClientPtr> asking_;
-  std::unordered_set<std::string> open_ids_;
+  CancellableTimer timeout_check_, disconnect_check_;
+  std::unordered_set<ConnectionPtr> clients_;
+  std::unordered_map<RequestId, ConnectionPtr> clients_by_request_;
+  std::unordered_set<std::string> open_request_ids_;
   ClassNames classes_, tenants_;
   bool accepting_ = false;
-  // Idle clients, the first to go first, as the last look at all of them found them.
+  // Idle clients in the order of their eviction, as the last scan found them.
   struct Candidate {
-    std::weak_ptr<Client> client;
+    std::weak_ptr<ClientConnection> client;
     Micros last_active = 0;
   };
-  std::deque<Candidate> to_shed_;
-  Micros next_look_ = 0;
-  StatementBudget budget_;
-  std::deque<std::weak_ptr<Client>> awaiting_room_;
-  bool room_posted_ = false;
-  // Bytes not read as messages yet; of statements under way; of answers that wait for earlier ones.
-  std::size_t buffered_ = 0, carried_ = 0, retained_ = 0;
+  std::deque<Candidate> eviction_candidates_;
+  Micros next_eviction_scan_ = 0;
+  StatementBudget statement_budget_;
+  std::deque<std::weak_ptr<ClientConnection>> awaiting_reservation_;
+  bool reservation_check_posted_ = false;
+  // Bytes that are not read as messages yet; of statements in flight; of responses that wait for earlier
+  // ones.
+  std::size_t unread_bytes_ = 0, statement_bytes_ = 0, retained_bytes_ = 0;
 };
 
 }  // namespace tulipyoke::net
--- /dev/null
+++ b/src/listener/client_messages.cpp
@@ -0,0 +1,225 @@
+// What each message of a client asks for, and how statements become requests.
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "src/listener/client_connection.hpp"
+#include "src/listener/client_listener.hpp"
+#include "src/listener/response_messages.hpp"
+#include "src/pg/message_writer.hpp"
+#include "src/pg/session_command.hpp"
+#include "src/pg/statement.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+constexpr Micros kMicrosPerMilli = 1'000;
+// When a client that came to a router out of service may retry: another router accepts it at once.
+constexpr Micros kOutOfServiceRetryAfter = 20'000;
+// Rejected statements in a row after which the connection is closed.
+constexpr int kMaxRejectedStatements = 8;
+constexpr std::string_view kSimpleQueriesOnly = "only simple queries are served";
+
+std::uint64_t SessionKey(std::string_view text) {
+  if (text.empty()) return 0;
+  return std::max<std::uint64_t>(1, std::hash<std::string_view>{}(text));
+}
+
+}  // namespace
+
+std::optional<RequestId> ClientListener::PrecedingWrite(const ClientConnection& client, std::uint64_t key) {
+  if (key == 0) return std::nullopt;
+  const auto writes = [&](const PendingResponse& pending) {
+    return pending.is_open() && pending.written_session == key;
+  };
+  const auto last = std::find_if(client.pending_responses.rbegin(), client.pending_responses.rend(), writes);
+  if (last == client.pending_responses.rend()) return std::nullopt;
+  return last->request;
+}
+
+void ClientListener::OnStartup(const ConnectionPtr& client, std::string_view body) {
+  const pg::Result<pg::StartupKind> kind = pg::ParseStartup(body);
+  if (!kind) return OnProtocolError(client, kind.error());
+  switch (*kind) {
+    case pg::StartupKind::kEncryption:
+      client->output += 'N';
+      return;
+    case pg::StartupKind::kCancel:
+      return Close(client);
+    case pg::StartupKind::kSession:
+      break;
+  }
+  client->started = true;
+  client->login_started = clock_.Now();
+  client->reader.EndStartup();
+  pg::AppendAuthenticationOk(client->output);
+  pg::AppendParameterStatus(client->output, "server_version", "15.0");
+  pg::AppendParameterStatus(client->output, "server_encoding", "UTF8");
+  pg::AppendParameterStatus(client->output, "client_encoding", "UTF8");
+  pg::AppendParameterStatus(client->output, "standard_conforming_strings", "on");
+  pg::AppendReadyForQuery(client->output);
+}
+
+void ClientListener::OnMessage(const ConnectionPtr& client, char type, std::string_view body) {
+  client->has_sent_message = true;
+  switch (type) {
+    case 'Q': {
+      client->skipping_to_sync = false;
+      const pg::Result<std::string_view> text = pg::ParseQuery(body);
+      if (!text) return OnProtocolError(client, text.error());
+      return OnQuery(client, *text);
+    }
+    case 'X':
+      return OnTerminate(client);
+    case 'S':  // Sync
+      client->skipping_to_sync = false;
+      return Respond(*client, ReadyMessage());
+    case 'P':
+    case 'B':
+    case 'D':
+    case 'E':
+    case 'C':
+    case 'H':
+      // One error, then nothing until the client's Sync, as the protocol wants it.
+      if (!client->skipping_to_sync) Respond(*client, ErrorMessage("0A000", kSimpleQueriesOnly));
+      client->skipping_to_sync = true;
+      return;
+    case 'F':
+      return Respond(*client, ErrorMessage("0A000", kSimpleQueriesOnly) + ReadyMessage());
+    default:
+      return OnProtocolError(client, pg::ProtocolError::kUnknownRequestType);
+  }
+}
+
+void ClientListener::OnQuery(const ConnectionPtr& client, std::string_view text) {
+  switch (pg::ParseSessionCommand(text)) {
+    case pg::SessionCommand::kEmpty:
+      if (!serving_state_.router_accepts_clients()) return CloseWithError(client, "57P03", "out of service");
+      return Respond(*client, EmptyMessage() + ReadyMessage());
+    case pg::SessionCommand::kSet:
+      return Respond(*client, CompleteMessage("SET") + ReadyMessage());
+    case pg::SessionCommand::kReset:
+      return Respond(*client, CompleteMessage("RESET") + ReadyMessage());
+    case pg::SessionCommand::kDiscard:
+      return Respond(*client, CompleteMessage("DISCARD ALL") + ReadyMessage());
+    case pg::SessionCommand::kNone:
+      return OnStatement(client, text);
+  }
+}
+
+void ClientListener::OnStatement(const ConnectionPtr& client, std::string_view text) {
+  const std::optional<pg::Statement> statement = pg::ParseStatement(text);
+  if (!statement) return RejectStatement(client, StatementError::kUnsupportedForm, std::nullopt);
+  const auto found = classes_.find(std::string(statement->class_name));
+  if (found == classes_.end()) return RejectStatement(client, StatementError::kUnknownClass, std::nullopt);
+  const int class_index = found->second;
+  if (const std::optional<StatementError> error = FindStatementError(*statement, class_index)) {
+    return RejectStatement(client, *error, class_index);
+  }
+  client->rejected_statements = 0;
+  if (RejectForCapacity(client, class_index, text.size())) return;
+  // It may have arrived long ago and waited; its client may have disconnected since.
+  if (HasDisconnected(*client)) return Close(client);
+  SubmitRequest(client, *statement, class_index, text);
+}
+
+void ClientListener::RejectStatement(const ConnectionPtr& client, StatementError error,
+                                     std::optional<int> class_index) {
+  ++counters_.malformed;
+  if (class_index) dispatcher_.CountLocalResponse(*class_index, FailedResponse{});
+  ++client->rejected_statements;
+  if (client->rejected_statements >= kMaxRejectedStatements) {
+    return CloseWithError(client, "08P01", ToText(error));
+  }
+  Respond(*client, ErrorMessage("42601", ToText(error)) + ReadyMessage());
+}
+
+bool ClientListener::RejectForCapacity(const ConnectionPtr& client, int class_index,
+                                       std::size_t statement_size) {
+  if (client->over_limit) {
+    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
+    CloseWithError(client, "53300", kTooManyConnections, RetryAfterText(kNoDeadline));
+    return true;
+  }
+  if (serving_state_.Rejects(clock_.Now())) {
+    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
+    CloseWithError(client, "57P03", "out of service: trying again is harmless",
+                   RetryAfterText(kOutOfServiceRetryAfter));
+    return true;
+  }
+  // If requests take all that clients may hold, nobody can connect, neither to this process nor to the one
+  // that takes over.
+  const bool too_many = clients_by_request_.size() >= options_.limits.most_open;
+  const bool too_large =
+      !client->statement_reservation && statement_bytes_ + statement_size > options_.limits.most_buffered;
+  if (!too_many && !too_large) return false;
+  ++counters_.rejected;
+  dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
+  Respond(*client,
+          ErrorMessage("53300", "too much is under way", RetryAfterText(kNoDeadline)) + ReadyMessage());
+  return true;
+}
+
+void ClientListener::SubmitRequest(const ConnectionPtr& client, const pg::Statement& statement,
+                                   int class_index, std::string_view text) {
+  const Freshness freshness = dispatcher_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
+  const bool is_write = freshness == Freshness::kWrite;
+  const bool is_session_read = freshness == Freshness::kSession;
+  const auto tenant = tenants_.find(std::string(statement.tenant));
+  ClientRequest request;
+  request.class_index = class_index;
+  request.tenant = tenant == tenants_.end() ? 0 : tenant->second;
+  request.group = statement.cluster;
+  if (is_session_read || is_write) request.key = SessionKey(statement.key);
+  request.wait = statement.timeout_ms * kMicrosPerMilli;
+  request.arrived = client->message_arrived;
+  request.preceding_write = PrecedingWrite(*client, request.key);
+  if (is_session_read) request.after_unix_ms = statement.read_after_ms;
+  request.repeat = statement.is_retry;
+
+  PendingResponse& response = AddPendingResponse(*client);
+  response.client_request_id = statement.request_id;
+  open_request_ids_.insert(response.client_request_id);
+  if (is_write) response.written_session = request.key;
+  if (!client->statement_reservation) {
+    response.statement_bytes = text.size();
+    statement_bytes_ += text.size();
+  }
+  // From here on the payload owns the text.
+  request.payload = std::make_shared<const RequestPayload>(
+      RequestPayload{client->reader.TakeBody(text), statement.timeout_offset, statement.timeout_size,
+                     std::move(client->statement_reservation)});
+  options_.before_request();
+  response.request = dispatcher_.Submit(clock_.Now(), request);
+  clients_by_request_[response.request] = client;
+  ++client->open_requests;
+}
+
+void ClientListener::OnTerminate(const ConnectionPtr& client) {
+  if (!client->has_pending_responses()) return Close(client);
+  // It still gets the responses to what it sent before.
+  AddPendingResponse(*client).closes_connection = true;
+  client->input_ended = true;
+}
+
+std::string ClientListener::RetryAfterText(Micros wanted) const {
+  const Settings& settings = dispatcher_.settings();
+  const Micros retry_after = std::min(settings.max_retry_after, wanted);
+  if (!settings.retry_after || retry_after <= 0) return "";
+  return std::to_string(retry_after / kMicrosPerMilli);
+}
+
+std::optional<StatementError> ClientListener::FindStatementError(const pg::Statement& statement,
+                                                                 int class_index) const {
+  const ClassSettings& of_class = dispatcher_.settings().classes[static_cast<std::size_t>(class_index)];
+  if (statement.is_write != (of_class.freshness == Freshness::kWrite)) return StatementError::kClassMismatch;
+  if (of_class.idempotency == Idempotency::kWithKey && statement.idempotency_key.empty()) {
+    return StatementError::kNoIdempotencyKey;
+  }
+  if (open_request_ids_.contains(std::string(statement.request_id))) {
+    return StatementError::kRequestIdAlreadyOpen;
+  }
+  return std::nullopt;
+}
+
+}  // namespace tulipyoke::net
--- /dev/null
+++ b/src/listener/statement_error.hpp
@@ -0,0 +1,36 @@
+// Why a client's statement is not accepted as a request.
+#ifndef TULIPYOKE_SRC_LISTENER_STATEMENT_ERROR_HPP_
+#define TULIPYOKE_SRC_LISTENER_STATEMENT_ERROR_HPP_
+
+#include <string_view>
+
+namespace tulipyoke::net {
+
+enum class StatementError {
+  kUnsupportedForm,
+  kUnknownClass,
+  kClassMismatch,         // a write in a class of reads, or a read in a class of writes
+  kNoIdempotencyKey,      // which its class requires
+  kRequestIdAlreadyOpen,  // by another request, which goes on untouched
+};
+
+// The text that the client is sent.
+constexpr std::string_view ToText(StatementError error) {
+  switch (error) {
+    case StatementError::kUnsupportedForm:
+      return "the statement has no form that is served here, or lacks the comment that says what it is";
+    case StatementError::kUnknownClass:
+      return "no class of requests has this name";
+    case StatementError::kClassMismatch:
+      return "the class does not fit the statement";
+    case StatementError::kNoIdempotencyKey:
+      return "the class wants a key for repeats";
+    case StatementError::kRequestIdAlreadyOpen:
+      return "a request with this id is still open";
+  }
+  return "";
+}
+
+}  // namespace tulipyoke::net
+
+#endif  // TULIPYOKE_SRC_LISTENER_STATEMENT_ERROR_HPP_
--- a/src/server/counters_log.cpp
+++ b/src/server/counters_log.cpp
@@ -29,8 +29,8 @@
   CounterLine line("clients");
   line.Add("open", listener.clients());
   line.Add("accepted", counters.accepted);
-  line.Add("turned_away", counters.turned_away);
-  line.Add("shed", counters.shed);
+  line.Add("turned_away", counters.rejected);
+  line.Add("shed", counters.evicted);
   line.Add("idle", counters.idle);
   line.Add("silent", counters.silent);
   line.Add("malformed", counters.malformed);
--- a/src/server/graceful_shutdown.cpp
+++ b/src/server/graceful_shutdown.cpp
@@ -39,7 +39,7 @@
   const Micros now = clock_.Now();
   const Micros elapsed = now - *begun_at_;
   StopAcceptingAfterDrainWindow(now);
-  if (elapsed >= plan_.answer_by) listener_.Dismiss();
+  if (elapsed >= plan_.answer_by) listener_.RejectIncomplete();
   if (Finished(elapsed)) return true;
   ArmTimer();
   return false;
@@ -60,7 +60,7 @@
   // The successor of this process, and other routers that are stopped in turn, wait for its end: it does not
   // wait for clients that only hold a connection. Handed over, its successor serves already.
   const bool handed_over = serving_state_.state() == ServingState::State::kHandedOver;
-  return !handed_over && !listener_.Owes(kIncompleteMessagePatience);
+  return !handed_over && !listener_.HasUnfinishedClients(kIncompleteMessagePatience);
 }
 
 // Armed anew only once it has expired: moving it would complete its wait, and that would begin an iteration
--- a/src/server/hot_restart_coordinator.cpp
+++ b/src/server/hot_restart_coordinator.cpp
@@ -157,7 +157,7 @@
 
 void HotRestartCoordinator::SetQuota(double share) {
   const ResourceQuota quota = QuotaFor(config_, share);
-  listener_.Resize(quota.clients);
+  listener_.SetLimits(quota.clients);
   pool_.SetMaxConnections(quota.server_connections);
 }
 
--- a/tests/listener/accept_test.cpp
+++ b/tests/listener/accept_test.cpp
@@ -57,7 +57,7 @@
   const ServingState service;
   ClientListener* told = nullptr;
   ListenerOptions options{Loopback(0), {100, 100, 100, 1 << 20}};
-  options.before_request = [&] { told->Resize({0, 100, 100, 1 << 20}); };
+  options.before_request = [&] { told->SetLimits({0, 100, 100, 1 << 20}); };
   ClientListener listener(io, clock, dispatcher, service, options);
   told = &listener;
   listener.StartAccepting();
--- a/tests/listener/client_limits_test.cpp
+++ b/tests/listener/client_limits_test.cpp
@@ -106,11 +106,11 @@
       io.run_one();
     }
     if (wanted == 8) break;
-    EXPECT_EQ(listener.counters().shed, 0u);
+    EXPECT_EQ(listener.counters().evicted, 0u);
     std::this_thread::sleep_for(std::chrono::milliseconds(250));  // then they have surely been idle
   }
   EXPECT_EQ(listener.clients(), 4u);
-  EXPECT_EQ(listener.counters().shed, 4u);
+  EXPECT_EQ(listener.counters().evicted, 4u);
   listener.Stop();
 }
 
@@ -125,8 +125,8 @@
   std::vector<tcp::socket> clients;
   for (int i = 0; i < 40; ++i) clients.emplace_back(io).connect(Loopback(listener.port()));
   while (listener.counters().accepted < 40) io.run_one();
-  EXPECT_EQ(listener.counters().turned_away, 0u);
-  EXPECT_EQ(listener.counters().shed, 36u);
+  EXPECT_EQ(listener.counters().rejected, 0u);
+  EXPECT_EQ(listener.counters().evicted, 36u);
   listener.Stop();
 }
 
