--- a/src/listener/arrival_times.hpp
+++ b/src/listener/arrival_times.hpp
@@ -1,4 +1,4 @@
-// When the bytes of a stream came that have not been handled yet.
+// When the unprocessed bytes of a stream arrived.
 #ifndef TULIPYOKE_SRC_LISTENER_ARRIVAL_TIMES_HPP_
 #define TULIPYOKE_SRC_LISTENER_ARRIVAL_TIMES_HPP_
 
@@ -10,10 +10,10 @@
 
 namespace tulipyoke::net {
 
-// Bounded: where bytes came at more moments than are kept apart, some count as come a little later.
+// Bounded: if bytes arrived at more moments than are kept, some count as arrived later than they did.
 class ArrivalTimes {
  public:
-  // So many further bytes came at `now`.
+  // `size` further bytes arrived at `now`.
   void Add(std::size_t size, Micros now) {
     came_ += size;
     const bool merges = !marks_.empty() && (marks_.size() >= kMostMarks || marks_.back().when == now);
@@ -23,7 +23,7 @@
       marks_.push_back({came_, now});
     }
   }
-  // The next `size` bytes are handled: when the last of them came.
+  // The next `size` bytes are processed. Returns when the last of them arrived.
   Micros Take(std::size_t size) {
     taken_ += size;
     while (marks_.size() > 1 && marks_.front().up_to < taken_) marks_.pop_front();
@@ -36,7 +36,7 @@
   static constexpr std::size_t kMostMarks = 64;
 
   struct Mark {
-    std::uint64_t up_to = 0;  // bytes of the stream that had come by then
+    std::uint64_t up_to = 0;  // bytes of the stream that had arrived by then
     Micros when = 0;
   };
   std::deque<Mark> marks_;
--- a/src/listener/client_io.cpp
+++ b/src/listener/client_io.cpp
@@ -40,7 +40,8 @@
                                    if (client->closed) return;
                                    if (error) return Close(client);
                                    if (client->closing || client->input_ended) {
-                                     // Only its close is awaited; one that sends on is not read for ever.
+                                     // Only its close is awaited; what it goes on sending is read up to a
+                                     // limit.
                                      client->discarded_bytes += size;
                                      if (client->discarded_bytes < kMaxDiscardedBytes) Read(client);
                                      return;
@@ -126,7 +127,7 @@
     return true;
   }
   if (client->statement_reservation) return true;
-  // Whoever waits longer goes first.
+  // First come, first served.
   if (awaiting_reservation_.empty() || client->awaits_reservation)
     client->statement_reservation = statement_budget_.Reserve(wanted);
   if (client->statement_reservation) {
@@ -165,8 +166,8 @@
   return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-// At once, as far as the socket takes it. The last words leave in one piece with the end of the stream: a
-// client that had them first could ask again in between.
+// Directly, as far as the socket takes it. The last message leaves in one segment with the end of the stream:
+// a client that had it first could send another request in between.
 void ClientListener::Write(const ConnectionPtr& client) {
   if (client->writing || client->closed) return;
   if (!client->output.empty()) {
@@ -208,7 +209,7 @@
                                     std::string_view message, std::string_view detail) {
   if (client->closing || client->closed || client->input_ended) return;
   client->statement_reservation.reset();
-  client->reader = pg::MessageReader(false);  // what it has sent is not kept while it takes its leave
+  client->reader = pg::MessageReader(false);  // its input is not kept while the connection closes
   client->arrivals = {};
   std::string last_words;
   pg::AppendError(last_words, "FATAL", code, message, detail);
@@ -225,7 +226,8 @@
   Write(client);
 }
 
-// Sends the end of the stream and waits for the client's: closing at once could destroy what it has not read.
+// Ends the sending and waits for the client to do the same: closing at once could destroy what it has not
+// read.
 void ClientListener::ShutDownWrite(const ConnectionPtr& client) {
   if (!client->closing) client->closing_since = clock_.Now();
   client->closing = true;
--- a/src/listener/client_listener.cpp
+++ b/src/listener/client_listener.cpp
@@ -17,15 +17,15 @@
 namespace tulipyoke::net {
 namespace {
 
-// Idle clients closed for one new one at most: more than one, so that their number falls again after a rush.
+// Idle clients closed for one new one at most: more than one, so that their number falls after a burst.
 constexpr int kMaxEvictionsPerAccept = 2;
-// While there is room, only those go that were idle for so long: one that has just had its answer is about to
-// be asked on again, and that request would cross its close.
+// While places are left, only clients are evicted that have been idle for this long: a client that has just
+// had a response often sends its next request at once, which would cross the close.
 constexpr Micros kMinIdleForEviction = 200'000;
-// Clients beyond the limit that are still being told so; any more are told and closed in one go.
+// Clients beyond the limit that may still send a statement to be rejected; any more are rejected at once.
 constexpr std::size_t kMaxOverLimitClients = 16;
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
-// And how long a process that ends waits for that, so that its successor can begin.
+// How long a process that shuts down waits for clients to read their last message and close.
 constexpr Micros kShutdownLinger = 100'000;
 
 }  // namespace
@@ -48,7 +48,7 @@
   });
   try {
     if (options.accept_fd >= 0) {
-      // Programs that this one may start have no business with it. It is never shut down: others share it.
+      // Not inherited by child processes. Never shut down, because other processes share it.
       ::fcntl(options.accept_fd, F_SETFD, FD_CLOEXEC);
       acceptor_.assign(options.listen.protocol(), options.accept_fd);
       acceptor_.local_endpoint();
@@ -90,8 +90,8 @@
 void ClientListener::SetLimits(const ListenerLimits& limits) {
   options_.limits = limits;
   statement_budget_.Resize(limits.large_statements);
-  // Between two handlers: what another process tells is read in the middle of a request, whose client looks
-  // idle until it has been handed in, and would be closed with it.
+  // In a handler of its own: an update from another process can arrive while a request is being submitted,
+  // and its client, which looks idle until then, must not be closed.
   asio::post(io_, [this] {
     while (clients_.size() > options_.limits.most_clients && EvictIdle()) {
     }
@@ -103,7 +103,7 @@
     if (!error) AddConnection(std::move(socket));
     if (!accepting_ || error == asio::error::operation_aborted || !acceptor_.is_open()) return;
     if (!error) return Accept();
-    // Out of descriptors or memory: make room and try again shortly.
+    // Out of descriptors or memory: evict an idle client and retry shortly.
     ++counters_.accept_errors;
     const bool gone_already = error == asio::error::connection_aborted;
     if (!gone_already && !EvictIdle()) {
@@ -117,8 +117,8 @@
   ++counters_.accepted;
   std::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  // Clients may hold but a part of the descriptors for their requests. Where each asks on a connection of its
-  // own and keeps it, those that are idle must go before that part is used up, or nobody can ask any more.
+  // Clients may use only a part of the descriptors. Where each request comes on a connection of its own that
+  // stays open, idle ones are evicted before that part is used up.
   for (int evicted = 0; evicted < kMaxEvictionsPerAccept && clients_.size() >= options_.limits.kept_clients;
        ++evicted) {
     const bool urgent = clients_.size() >= options_.limits.kept_clients + options_.limits.kept_clients / 8;
@@ -141,8 +141,6 @@
   Read(client);
 }
 
-// Whether somebody is owed anything: an answer, one that is not all sent, or the time to end what it has
-// begun.
 bool ClientListener::HasUnfinishedClients(Micros patience) const {
   const Micros now = clock_.Now();
   return std::any_of(clients_.begin(), clients_.end(), [&](const ConnectionPtr& client) {
@@ -167,8 +165,8 @@
   acceptor_.close(ignored);
 }
 
-// What is still on its way is refused before it is whole: where the process only ended, the last byte of a
-// statement could cross that, and its client would have no answer.
+// If the process just ended, the last byte of a statement could cross that, and its client would get no
+// response.
 void ClientListener::RejectIncomplete() {
   const std::unordered_set<ConnectionPtr> clients = clients_;
   for (const ConnectionPtr& client : clients) {
--- a/src/listener/client_responses.cpp
+++ b/src/listener/client_responses.cpp
@@ -113,7 +113,7 @@
   const bool complete = stream->state() == ResponseStream::State::kComplete;
   dispatcher_.StreamDelivered(request);
   if (!complete) {
-    // A part of the value is out: only the close can say that the rest will not come.
+    // Part of the value is sent: only closing the connection tells the client that the rest will not come.
     Close(client);
     return false;
   }
--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -13,49 +13,46 @@
 namespace tulipyoke::net {
 namespace {
 
-// A client that takes nothing of what is sent to it for so long is given up.
+// A client that reads nothing of what is sent to it for this long is disconnected.
 constexpr Micros kWriteTimeout = 30'000'000;
-// A client that has sent nothing for so long since it connected, or of what it has begun, is told so and let
-// go. Two seconds are lawful.
+// A client that has sent nothing for this long since it connected, or nothing more of a message that it has
+// begun, is disconnected with an error. The protocol allows pauses of two seconds.
 constexpr Micros kMessageTimeout = 2'600'000;
-// So is one that goes on sending, but is not through with one message by then; and one for whose large
-// statement there was no room for so long.
+// So is a client that needs longer for one message, and one whose large statement has waited this long for
+// memory.
 constexpr Micros kMaxMessageDuration = 30'000'000;
 constexpr Micros kReservationTimeout = 10'000'000;
 // So may be one that holds its connection without a request; sooner, the more of the places are taken.
 constexpr Micros kIdleTimeoutCrowded = 2'020'000;
 constexpr Micros kIdleTimeout = 10'000'000;
-// When places are short, a client that has asked nothing for so long since it connected goes before all
-// others.
+// A client that has sent nothing for this long since it connected is evicted before all others.
 constexpr Micros kFirstRequestGrace = 200'000;
-// So may one that has stopped half way through a message for so long, when nobody else is left to go.
+// A client that has paused this long within a message may be evicted when there is no other.
 constexpr Micros kPartialMessageIdle = 700'000;
-// One for which there is no place has so long to say what is refused it.
+// How long a client beyond the limit may take to send the statement that is rejected.
 constexpr Micros kOverLimitTimeout = 200'000;
-// How many idle clients one look at all of them finds, and how long it is until the next one where there are
-// none.
+// How many idle clients one scan finds, and the pause before the next scan if there were none.
 constexpr std::size_t kEvictionBatch = 32;
 constexpr Micros kEvictionScanInterval = 5'000;
 constexpr auto kTimeoutCheckInterval = std::chrono::milliseconds(100);
-// No attempt may begin 0.1 s after its client's close: where nothing is read, that is looked for twice in
-// this time.
+// No attempt may start later than 0.1 s after its client's close: connections that are not read are checked
+// twice in this time.
 constexpr auto kDisconnectCheckInterval = std::chrono::milliseconds(50);
-// How long a client may take to read the last words to it and close.
+// How long a client may take to read its last message and close.
 constexpr Micros kLingerTimeout = 1'000'000;
 
 }  // namespace
 
-// Those that never asked anything though they had time to go first, then those that asked once, since many
-// hold their connection for good after that; then the rest, whoever has been idle longest first. Last of all
-// goes one that has only just connected and is about to ask: it would come back, and so would the one for
-// which that one is evicted.
+// First clients that had time to send a request and sent none, then those that sent one, since many keep
+// their connection without using it again; then the others, the longest idle first. Last those that have only
+// just connected and are about to send a request: they would come back.
 bool ClientListener::EvictIdle(Micros least_idle) {
   const Micros now = clock_.Now();
   for (bool looked = false;; looked = true) {
     while (!eviction_candidates_.empty()) {
       const ConnectionPtr client = eviction_candidates_.front().client.lock();
       const Micros last_active = eviction_candidates_.front().last_active;
-      // It may have asked since it was looked at.
+      // It may have sent a request since the scan.
       std::error_code error;
       const bool same = client && client->last_active == last_active && !client->has_pending_responses() &&
                         !client->writing && !client->closing && !client->closed &&
@@ -72,7 +69,7 @@
   }
 }
 
-// A look at all clients serves many that come: in a crowd there is no time for one each.
+// One scan of all clients serves many evictions: in a burst there is no time for a scan each.
 void ClientListener::FindEvictionCandidates() {
   const Micros now = clock_.Now();
   using Ranked = std::tuple<int, Micros, ConnectionPtr>;
@@ -95,14 +92,14 @@
   eviction_candidates_.clear();
   for (std::size_t i = 0; i < most; ++i)
     eviction_candidates_.push_back({std::get<ConnectionPtr>(idle[i]), std::get<Micros>(idle[i])});
-  // While some were found each look serves as many; none may be turned away for want of another.
+  // As long as a scan finds idle clients the next one may follow at once.
   next_eviction_scan_ = idle.empty() ? now + kEvictionScanInterval : now;
 }
 
 bool ClientListener::IsIdle(const ClientConnection& client) const {
   if (client.has_pending_responses() || client.closing || client.closed || client.processing_scheduled)
     return false;
-  // What has arrived and was not read yet is a request like any other.
+  // Bytes that have arrived and are not read yet are a request, too.
   std::error_code error;
   return client.reader.buffered() == 0 && client.socket.available(error) == 0;
 }
@@ -114,7 +111,8 @@
   });
 }
 
-// Nothing is read of one that has sent far ahead or waits for room, so that its end is not come upon.
+// A client that has sent far ahead or waits for memory is not read, so that its disconnect is not noticed
+// otherwise.
 void ClientListener::CheckDisconnects() {
   disconnect_check_.ExpireAfter(kDisconnectCheckInterval, [this] { CheckDisconnects(); });
   const std::unordered_set<ConnectionPtr> clients = clients_;
--- a/src/listener/statement_budget.hpp
+++ b/src/listener/statement_budget.hpp
@@ -1,5 +1,6 @@
-// Room for large statements: they end with what the decisions need, so that each has to be held whole. One
-// sum for all clients, from which the stated length is set aside before the rest is read.
+// Memory for large statements. The comment that decisions need is at the end of a statement, so that each
+// must be complete in memory. All clients share one budget, from which the stated length is reserved before
+// it is read.
 #ifndef TULIPYOKE_SRC_LISTENER_STATEMENT_BUDGET_HPP_
 #define TULIPYOKE_SRC_LISTENER_STATEMENT_BUDGET_HPP_
 
@@ -12,7 +13,7 @@
 
 class StatementBudget {
  public:
-  // Held for as long as any copy of it lives: by the reading client, then by the request and its attempts.
+  // A reservation ends with its last copy: held by the connection, then by the request and its attempts.
   using Room = std::shared_ptr<const void>;
 
   explicit StatementBudget(std::size_t total) : state_(std::make_shared<State>(State{total, 0, {}})) {}
@@ -20,8 +21,8 @@
   StatementBudget(const StatementBudget&) = delete;
   StatementBudget& operator=(const StatementBudget&) = delete;
 
-  // Null: there is no room now. What is larger than all there is gets it when nothing else is held, so that
-  // nobody waits for ever.
+  // Null: there is not enough now. A statement larger than the whole budget gets it when nothing else is
+  // reserved, so that none waits for ever.
   Room Reserve(std::size_t size) {
     if (state_->held > 0 && state_->held + size > state_->total) return nullptr;
     state_->held += size;
--- a/src/upstream/upstream_pool.hpp
+++ b/src/upstream/upstream_pool.hpp
@@ -39,8 +39,8 @@
   std::uint64_t exhausted = 0;    // operations for which no connection could be opened within the limit
 };
 
-// Runs in the loop's thread. The outcome of each operation that is started is reported once to the exchange,
-// unless Cancel comes first.
+// Runs in the loop's thread. The outcome of each operation that is started is reported once to the
+// dispatcher, unless Cancel comes first.
 class UpstreamPool final : private UpstreamConnectionListener {
  public:
   UpstreamPool(asio::io_context& io, LoopClock& clock, Dispatcher& dispatcher,
--- a/tests/listener/accept_test.cpp
+++ b/tests/listener/accept_test.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // Guards against accepting that goes on after it was paused: the retry delay after an error had just expired.
-TEST(ClientFrontAccept, AnExpiredRetryDelayStartsNothingWhileAcceptingIsPaused) {
+TEST(ClientListenerAccept, AnExpiredRetryDelayStartsNothingWhileAcceptingIsPaused) {
   asio::io_context io;
   LoopClock clock;
   Dispatcher dispatcher({Settings{}, 1, {}, {}, 1'000'000});
@@ -49,7 +49,7 @@
 
 // Guards against a client that is closed in the middle of its request: a peer process of this router
 // announces itself, idle clients are evicted for it, and a client whose request is being read looks idle.
-TEST(ClientFrontEviction, EvictionWhileARequestIsReadDoesNotCloseItsClient) {
+TEST(ClientListenerEviction, EvictionWhileARequestIsReadDoesNotCloseItsClient) {
   asio::io_context io;
   LoopClock clock;
   Dispatcher dispatcher({RouterHarness::SingleClassSettings(Idempotency::kNone), 1, {}, {}, 1'000'000});
