--- a/tests/discovery/poll_backoff_test.cpp
+++ b/tests/discovery/poll_backoff_test.cpp
@@ -1,11 +1,12 @@
 // When routers ask for the endpoint list again: many of them together, and each by itself.
+#include "src/discovery/poll_backoff.hpp"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <map>
 #include <vector>
 
-#include "src/discovery/poll_backoff.hpp"
 #include "tests/scene.hpp"
 
 namespace tulipyoke::limits {
