--- a/review/common/harness.cpp
+++ b/review/common/harness.cpp
@@ -403,7 +403,8 @@
   std::string text = "{\"name\":\"n0\",\"listen\":" + address(options.port);
   if (options.admin != 0) text += ",\"operator\":" + address(options.admin);
   text += ",\"discovery\":" + address(options.registry);
-  text += R"(,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024})";
+  text += R"(,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" +
+          std::to_string(options.memory_mb) + ",\"sockets\":" + std::to_string(options.sockets) + "}";
   text += R"(,"known":{"revision":1,"complete":true,"members":[)" + members + "]}";
   text += R"(,"settings":{"discovery":"push","quantum":5000,"n_instances":2,"me":0,"zone":0,"tier":0,
 "failure_domains":["derby","nottingham"],"kinds":["std-5core"],"worth_by":"request","service_type":"replicas",
--- a/review/common/harness.hpp
+++ b/review/common/harness.hpp
@@ -186,6 +186,7 @@
   std::string freshness;             // of each class: JSON strings, separated by commas
   std::string bounds;                // of each class, in microseconds, separated by commas
   std::string guards = "hold";
+  int memory_mb = 192, sockets = 1024;  // the limits of the process
 };
 std::string ConfigText(const ConfigOptions& options);
 // The classes `history-read` and `reading-write` of the deployment.
