--- a/review/common/harness.cpp
+++ b/review/common/harness.cpp
@@ -28,6 +28,9 @@
 
 using Steady = std::chrono::steady_clock;
 
+// A case that runs for longer is ended; its script exits with 2.
+constexpr unsigned kMaxSeconds = 115;
+
 std::int64_t Micros(std::chrono::nanoseconds span) {
   return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
 }
@@ -541,6 +544,8 @@
 
 int RunCase(const char* record_path, const std::function<int(Record&)>& run) {
   ::signal(SIGPIPE, SIG_IGN);
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // the program does not outlive its script
+  ::alarm(kMaxSeconds);
   Record record(record_path);
   try {
     return run(record);
