Answer every statement that was read when a router out of service rejects one

Cause: RejectIfUnavailable rejected the first statement with CloseWithError. That replaces the connection's reader, and with it the complete statements behind; Read then discards what is still in the socket. Ruled out: the decision module and the dispatcher (they never see these statements: `received` stays 0 in the test), and a close that crosses the statements (they came in one write with the answered one). With responses pending the same call set input_ended, so that statements were discarded for as long as the earlier request took.

Change: the rejection is an ordinary response. The connection is closed once all that the client has sent is answered (CloseWhenIdle), which is how a draining router closes its connections anyway. A client that keeps sending is cut off after 1 s by RejectAndClose, which rejects what was read before the final error.

Tests ConnectionEnd.*: four failed before, on the same tree with the former src: pipelined, more than one read, in pieces, behind an open request.

--- a/src/listener/client_connection.hpp
+++ b/src/listener/client_connection.hpp
@@ -9,11 +9,13 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "src/dispatch/response_stream.hpp"
 #include "src/listener/arrival_times.hpp"
+#include "src/listener/rejection_reason.hpp"
 #include "src/listener/statement_budget.hpp"
 #include "src/pg/message_reader.hpp"
 #include "tulipyoke/router.hpp"
@@ -48,6 +50,9 @@
   bool writing = false;
   bool skipping_to_sync = false;  // extended-query messages are ignored until Sync or a simple query
   bool closing = false;           // the last message is being sent; further input is discarded
+  // When it was decided to close the connection as soon as all statements sent so far are answered.
+  std::optional<Micros> close_when_idle_since;
+  std::optional<RejectionReason> rejection;  // all statements are rejected for this reason
   bool write_shut_down = false;
   bool closed = false;
   bool processing_scheduled = false;  // remaining messages are processed in the next event loop turn
--- a/src/listener/client_io.cpp
+++ b/src/listener/client_io.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t kPipeliningDivisor = 2;
 // Messages of one client processed per turn of the event loop, so that other clients are not delayed.
 constexpr int kMaxMessagesPerTurn = 16;
+// Messages of one client that are still processed when its connection is closed. More valid statements than
+// this are never buffered.
+constexpr int kMaxMessagesAtClose = 2048;
 // After this many bytes that a client sent beyond the end of its session, reading from it stops.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} << 10;
 
@@ -80,7 +83,7 @@
   }
   // Closes right after the response, so that the client cannot send its next request while the connection is
   // being closed.
-  if (serving_state_.draining() && client->has_sent_message && IsIdle(*client)) return ShutDownWrite(client);
+  if (IsClosedWhenIdle(*client) && IsIdle(*client)) return ShutDownWrite(client);
   Write(client);
   if (client->closed) return;
   const bool output_drained = client->unsent_bytes() < kMaxUnsentBytes;
@@ -100,20 +103,25 @@
       ScheduleProcessing(client);
       break;
     }
-    const std::size_t before = client->reader.buffered();
-    const std::optional<pg::Message> message = client->reader.Next();
-    if (!message) break;
-    client->message_arrived_at = client->arrivals.Take(before - client->reader.buffered());
-    client->message_started_at = clock_.Now();
-    if (message->type == '\0' && !client->startup_complete) {
-      OnStartup(client, message->body);
-    } else {
-      OnMessage(client, message->type, message->body);
-    }
+    if (!ProcessMessage(client)) break;
   }
   if (const std::optional<pg::ProtocolError> error = client->reader.error()) OnProtocolError(client, *error);
 }
 
+bool ClientListener::ProcessMessage(const ConnectionPtr& client) {
+  const std::size_t before = client->reader.buffered();
+  const std::optional<pg::Message> message = client->reader.Next();
+  if (!message) return false;
+  client->message_arrived_at = client->arrivals.Take(before - client->reader.buffered());
+  client->message_started_at = clock_.Now();
+  if (message->type == '\0' && !client->startup_complete) {
+    OnStartup(client, message->body);
+  } else {
+    OnMessage(client, message->type, message->body);
+  }
+  return true;
+}
+
 bool ClientListener::UpdateUnreadBytes(const ConnectionPtr& client) {
   const bool uncounted = client->closing || client->statement_reservation;
   const std::size_t unread = uncounted ? 0 : client->reader.buffered();
@@ -210,6 +218,14 @@
   CloseWithError(client, "08P01", pg::ToText(error));
 }
 
+void ClientListener::RejectAndClose(const ConnectionPtr& client, RejectionReason reason) {
+  client->rejection = reason;
+  for (int processed = 0; processed < kMaxMessagesAtClose; ++processed) {
+    if (client->closing || client->closed || client->input_ended || !ProcessMessage(client)) break;
+  }
+  CloseWithError(client, SqlStateOf(reason), ToText(reason));
+}
+
 void ClientListener::CloseWithError(const ConnectionPtr& client, std::string_view code,
                                     std::string_view message, std::string_view detail) {
   if (client->closing || client->closed || client->input_ended) return;
@@ -231,6 +247,14 @@
   Write(client);
 }
 
+void ClientListener::CloseWhenIdle(ClientConnection& client) {
+  if (!client.close_when_idle_since) client.close_when_idle_since = clock_.Now();
+}
+
+bool ClientListener::IsClosedWhenIdle(const ClientConnection& client) const {
+  return client.close_when_idle_since || (serving_state_.draining() && client.has_sent_message);
+}
+
 // Shuts down the sending direction and waits for the client to close: an immediate close could discard data
 // that the client has not read.
 void ClientListener::ShutDownWrite(const ConnectionPtr& client) {
--- a/src/listener/client_listener.hpp
+++ b/src/listener/client_listener.hpp
@@ -17,6 +17,7 @@
 #include "src/event_loop/cancellable_timer.hpp"
 #include "src/event_loop/loop_clock.hpp"
 #include "src/listener/read_timeout.hpp"
+#include "src/listener/rejection_reason.hpp"
 #include "src/listener/statement_budget.hpp"
 #include "src/listener/statement_error.hpp"
 #include "src/pg/message_parser.hpp"
@@ -118,6 +119,8 @@
   void RejectStatement(const ConnectionPtr& client, StatementError error, std::optional<int> class_index);
   // Rejects a valid statement if the router is out of service or a limit is reached. Returns whether it did.
   bool RejectIfUnavailable(const ConnectionPtr& client, int class_index, std::size_t statement_size);
+  // Rejects a valid statement of a connection that is closed when the client is idle.
+  void RejectAndCloseWhenIdle(ClientConnection& client, int class_index, RejectionReason reason);
   void SubmitRequest(const ConnectionPtr& client, const pg::Statement& statement, int class_index,
                      std::string_view text);
   // Whether this client's next message may be processed now.
@@ -150,9 +153,22 @@
   void Write(const ConnectionPtr& client);
   // Closes a connection whose client violated the protocol.
   void OnProtocolError(const ConnectionPtr& client, pg::ProtocolError error);
-  // Sends an error after the pending responses, then closes the connection gracefully.
+  // Processes the next message that has been read completely. Returns false if there is none.
+  bool ProcessMessage(const ConnectionPtr& client);
+  // Rejects the statements that have been read and not processed, then closes the connection with the same
+  // error. The error is also the response to a statement of which only a part has been read.
+  void RejectAndClose(const ConnectionPtr& client, RejectionReason reason);
+  // Sends an error after the pending responses, then closes the connection gracefully. Input that has not
+  // been processed is dropped.
   void CloseWithError(const ConnectionPtr& client, std::string_view code, std::string_view message,
                       std::string_view detail = {});
+  // Closes the connection once all statements that the client has sent so far are answered. Those that arrive
+  // until then are processed too, for a limited time if they keep coming.
+  void CloseWhenIdle(ClientConnection& client);
+  // Whether the connection is closed as soon as the client is idle.
+  bool IsClosedWhenIdle(const ClientConnection& client) const;
+  // Whether the client has kept sending for kMaxCloseWhenIdle since its connection was to be closed.
+  bool KeepsSending(const ClientConnection& client) const;
   // Whether the client has no pending response and no unread input, and is not being closed.
   bool IsIdle(const ClientConnection& client) const;
   void FindEvictionCandidates();
--- a/src/listener/client_messages.cpp
+++ b/src/listener/client_messages.cpp
@@ -5,6 +5,7 @@
 
 #include "src/listener/client_connection.hpp"
 #include "src/listener/client_listener.hpp"
+#include "src/listener/rejection_reason.hpp"
 #include "src/listener/response_messages.hpp"
 #include "src/pg/message_writer.hpp"
 #include "src/pg/session_command.hpp"
@@ -142,10 +143,10 @@
     CloseWithError(client, "53300", kTooManyConnections, RetryAfterText(kNoDeadline));
     return true;
   }
-  if (serving_state_.ShouldReject(clock_.Now())) {
-    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
-    CloseWithError(client, "57P03", "out of service: trying again is harmless",
-                   RetryAfterText(kOutOfServiceRetryAfter));
+  std::optional<RejectionReason> reason = client->rejection;
+  if (!reason && serving_state_.ShouldReject(clock_.Now())) reason = RejectionReason::kOutOfService;
+  if (reason) {
+    RejectAndCloseWhenIdle(*client, class_index, *reason);
     return true;
   }
   // If open requests held every connection and all memory that clients may use, no client could connect,
@@ -161,6 +162,16 @@
   return true;
 }
 
+// Statements that were sent behind this one, in the same segment or pipelined later, may already have been
+// read or be in the socket's buffer. The connection therefore stays open until they have their responses too.
+void ClientListener::RejectAndCloseWhenIdle(ClientConnection& client, int class_index,
+                                            RejectionReason reason) {
+  dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
+  Respond(client, ErrorMessage(SqlStateOf(reason), ToText(reason), RetryAfterText(kOutOfServiceRetryAfter)) +
+                      ReadyForQueryMessage());
+  CloseWhenIdle(client);
+}
+
 void ClientListener::SubmitRequest(const ConnectionPtr& client, const pg::Statement& statement,
                                    int class_index, std::string_view text) {
   const Freshness freshness = dispatcher_.settings().classes[static_cast<std::size_t>(class_index)].freshness;
--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -39,6 +39,8 @@
 // No attempt may start later than 0.1 s after its client has closed. Connections that are not being read from
 // are checked twice in this time.
 constexpr auto kDisconnectCheckInterval = std::chrono::milliseconds(50);
+// How long statements of a connection that is to be closed are still processed while more keep arriving.
+constexpr Micros kMaxCloseWhenIdle = 1'000'000;
 // How long a client may take to read its last message and close.
 constexpr Micros kLingerTimeout = 1'000'000;
 
@@ -106,6 +108,14 @@
   return client.reader.buffered() == 0 && client.socket.available(error) == 0;
 }
 
+// A client that does not read its responses is not one that keeps sending: it is not read from meanwhile.
+bool ClientListener::KeepsSending(const ClientConnection& client) const {
+  if (!client.close_when_idle_since || client.has_pending_responses() || client.writing) return false;
+  std::error_code error;
+  const bool has_unprocessed = client.processing_scheduled || client.socket.available(error) > 0;
+  return has_unprocessed && clock_.Now() - *client.close_when_idle_since > kMaxCloseWhenIdle;
+}
+
 void ClientListener::ScheduleTimeoutCheck() {
   timeout_check_.ExpireAfter(kTimeoutCheckInterval, [this] {
     CheckTimeouts();
@@ -135,6 +145,7 @@
   const bool linger_expired = client->closing && now - client->closing_since > kLingerTimeout;
   const bool write_expired = client->writing && now - client->last_active > kWriteTimeout;
   if (linger_expired || write_expired) return Close(client);
+  if (KeepsSending(*client)) return RejectAndClose(client, RejectionReason::kOutOfService);
   const bool busy = client->has_pending_responses() || client->processing_scheduled || client->writing;
   if (client->closing || busy) return;
   // A client that has only just connected is expected to send a request.
--- /dev/null
+++ b/tests/listener/connection_end_test.cpp
@@ -0,0 +1,199 @@
+// Connections that the router ends itself: each statement that it has read gets exactly one response before
+// that, also if it was pipelined, arrives in parts, or has a client that reads slowly.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/listener/client_listener.hpp"
+#include "src/serving_state/serving_state.hpp"
+#include "standins/pg_peer.hpp"
+
+namespace tulipyoke::net {
+namespace {
+
+using namespace standins;  // NOLINT: of the tests, for brevity
+
+constexpr RequestId kFirstRequest = 1;
+constexpr std::chrono::seconds kPatience{10};
+
+// The responses that a client received before its connection ended, each as its SQLSTATE, "served" or
+// "other".
+using Responses = std::vector<std::string>;
+
+std::string Summary(const Messages& messages) {
+  const std::string code = CodeOf(messages);
+  if (!code.empty()) return code;
+  for (const auto& [type, body] : messages) {
+    if (type == 'C') return "served";
+  }
+  return "other";
+}
+
+std::string Statements(int first, int count) {
+  std::string bytes;
+  for (int i = first; i < first + count; ++i) bytes += Ask(std::to_string(i));
+  return bytes;
+}
+
+// A listener whose requests reach a dispatcher without servers. The test executes the loop and the responses.
+class ConnectionEnd : public testing::Test {
+ protected:
+  ~ConnectionEnd() override {
+    if (listener_) listener_->Stop();
+  }
+
+  static Settings SingleClass() {
+    Settings settings;
+    settings.classes.resize(1);
+    settings.classes[0].name = "any";
+    settings.classes[0].latency_objective = settings.classes[0].deadline = 20'000'000;
+    return settings;
+  }
+  // Requests stay open until the test responds to them if there is a server.
+  void Start(ListenerLimits limits, bool with_server) {
+    EndpointList servers{1, true, {}};
+    if (with_server) {
+      servers.servers.emplace_back();
+      servers.servers.back().id = "a";
+      servers.servers.back().address = "127.0.0.1:1";
+      servers.servers.back().state = ServerState::kReady;
+    }
+    dispatcher_.Start(clock_.Now(), servers);
+    listener_ = std::make_unique<ClientListener>(io_, clock_, dispatcher_, serving_state_,
+                                                 ListenerOptions{Loopback(0), limits});
+    serving_state_.Start();
+    listener_->StartAccepting();
+  }
+  void Start(bool with_server = false) { Start({100, 100, 100, 1 << 20, 1 << 20, 10}, with_server); }
+  // The grace after which statements are rejected has already passed.
+  void TakeOutOfService() { serving_state_.TakeOutOfService(0); }
+
+  Peer Connect(int receive_buffer = 0) {
+    tcp::socket socket(io_);
+    socket.open(tcp::v4());
+    if (receive_buffer > 0) socket.set_option(asio::socket_base::receive_buffer_size(receive_buffer));
+    socket.connect(Loopback(listener_->port()));
+    socket.set_option(tcp::no_delay(true));
+    return Peer(std::move(socket), false);
+  }
+  Peer Session(int receive_buffer = 0) {
+    Peer client = Connect(receive_buffer);
+    std::string startup;
+    pg::AppendStartup(startup, "api", "ledger");
+    client.Write(startup);
+    while (client.socket().available() == 0) RunOnce();
+    client.UntilReady();
+    return client;
+  }
+  void RunOnce() {
+    clock_.BeginIteration();
+    io_.run_one_for(std::chrono::milliseconds(10));
+    for (const Command& command : dispatcher_.TakeCommands()) {
+      if (const auto* response = std::get_if<SendResponse>(&command))
+        listener_->Deliver(response->id, response->response);
+    }
+  }
+  // Fails the test instead of waiting forever.
+  void RunUntil(const std::function<bool()>& condition) {
+    const auto give_up_at = std::chrono::steady_clock::now() + kPatience;
+    while (!condition() && std::chrono::steady_clock::now() < give_up_at) RunOnce();
+    EXPECT_TRUE(condition());
+  }
+  void RunUntilReceived(std::uint64_t requests) {
+    RunUntil([&] { return dispatcher_.counters().received >= requests; });
+  }
+  void RunUntilRejected(std::uint64_t statements) {
+    RunUntil([&] { return dispatcher_.StatisticsAt(clock_.Now()).classes[0].dropped >= statements; });
+  }
+  void Serve(RequestId id, std::size_t value_size) {
+    ServedResponse response;
+    response.result.row_description = kShape;
+    response.result.value = std::string(value_size, 'v');
+    response.result.command_tag = std::string("SELECT 1\0", 9);
+    listener_->Deliver(id, response);
+  }
+  // Reads until the router ends the connection.
+  Responses ReadUntilEnd(Peer& client) {
+    Responses responses;
+    std::atomic<bool> ended = false;
+    std::thread reader([&] {
+      for (bool more = true; more;) {
+        const Messages messages = client.UntilReady();
+        more = messages.back().first != '\0';
+        if (messages.size() > 1 || more) responses.push_back(Summary(messages));
+      }
+      ended = true;
+    });
+    RunUntil([&] { return ended.load(); });
+    std::error_code ignored;
+    client.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    reader.join();
+    return responses;
+  }
+
+  asio::io_context io_;
+  LoopClock clock_;
+  ServingState serving_state_;
+  Dispatcher dispatcher_{{SingleClass(), 1, {}, {}, 1'000'000}};
+  std::unique_ptr<ClientListener> listener_;
+};
+
+// Guards against dropping the statements behind the first one that is rejected because the router is out of
+// service, although they arrived together with it.
+TEST_F(ConnectionEnd, RejectsAllPipelinedStatementsOutOfService) {
+  Start();
+  Peer client = Session();
+  TakeOutOfService();
+  client.Write(Statements(1, 4));
+  EXPECT_EQ(ReadUntilEnd(client), Responses(4, "57P03"));
+  EXPECT_EQ(dispatcher_.counters().received, 0u);
+}
+
+// Guards against a loss where one segment of the client is larger than one read of the router.
+TEST_F(ConnectionEnd, RejectsMoreStatementsOutOfServiceThanOneReadHolds) {
+  Start();
+  Peer client = Session();
+  TakeOutOfService();
+  client.Write(Statements(1, 500));
+  EXPECT_EQ(ReadUntilEnd(client), Responses(500, "57P03"));
+}
+
+// Guards against a close between the parts of a statement that was begun before the rejected one was
+// answered.
+TEST_F(ConnectionEnd, RejectsAStatementOutOfServiceWhoseRestArrivesLater) {
+  Start();
+  Peer client = Session();
+  TakeOutOfService();
+  const std::string last = Ask("last");
+  client.Write(Statements(1, 2) + last.substr(0, 30));
+  RunUntilRejected(2);
+  client.Write(last.substr(30));
+  EXPECT_EQ(ReadUntilEnd(client), Responses(3, "57P03"));
+}
+
+// Guards against discarding statements that arrive while an earlier one of their connection is in progress.
+TEST_F(ConnectionEnd, RejectsStatementsOutOfServiceBehindAnOpenOne) {
+  Start(true);
+  Peer client = Session();
+  client.Write(Ask("open"));
+  RunUntilReceived(1);
+  TakeOutOfService();
+  client.Write(Statements(1, 2));
+  RunUntilRejected(2);
+  client.Write(Statements(3, 2));
+  RunUntilRejected(4);
+  Serve(kFirstRequest, 1);
+  EXPECT_EQ(ReadUntilEnd(client), (Responses{"served", "57P03", "57P03", "57P03", "57P03"}));
+}
+
+}  // namespace
+}  // namespace tulipyoke::net
