Answer the statements behind an empty query while the router drains

OnQuery answered the empty query with CloseWithError, which drops what was read behind it.

Change: the error is an ordinary response; a draining router closes the connection when it is idle.

Test ConnectionEnd.RespondsToStatementsBehindAnEmptyQueryWhileDraining: failed before, passes now.

--- a/src/listener/client_listener.hpp
+++ b/src/listener/client_listener.hpp
@@ -115,6 +115,7 @@
   void OnStartup(const ConnectionPtr& client, std::string_view body);
   void OnMessage(const ConnectionPtr& client, char type, std::string_view body);
   void OnQuery(const ConnectionPtr& client, std::string_view text);
+  void OnEmptyQuery(ClientConnection& client);
   void OnStatement(const ConnectionPtr& client, std::string_view text);
   void RejectStatement(const ConnectionPtr& client, StatementError error, std::optional<int> class_index);
   // Rejects a valid statement if the router is out of service or a limit is reached. Returns whether it did.
--- a/src/listener/client_messages.cpp
+++ b/src/listener/client_messages.cpp
@@ -96,8 +96,7 @@
 void ClientListener::OnQuery(const ConnectionPtr& client, std::string_view text) {
   switch (pg::ParseSessionCommand(text)) {
     case pg::SessionCommand::kEmpty:
-      if (!serving_state_.router_accepts_clients()) return CloseWithError(client, "57P03", "out of service");
-      return Respond(*client, EmptyQueryMessage() + ReadyForQueryMessage());
+      return OnEmptyQuery(*client);
     case pg::SessionCommand::kSet:
       return Respond(*client, CommandCompleteMessage("SET") + ReadyForQueryMessage());
     case pg::SessionCommand::kReset:
@@ -109,6 +108,15 @@
   }
 }
 
+// The load balancer checks with an empty query whether it may send clients here. The error does not end the
+// connection at once, because statements may have been sent behind the query.
+void ClientListener::OnEmptyQuery(ClientConnection& client) {
+  if (serving_state_.router_accepts_clients())
+    return Respond(client, EmptyQueryMessage() + ReadyForQueryMessage());
+  Respond(client, ErrorMessage("57P03", "out of service") + ReadyForQueryMessage());
+  CloseWhenIdle(client);
+}
+
 void ClientListener::OnStatement(const ConnectionPtr& client, std::string_view text) {
   const std::optional<pg::Statement> statement = pg::ParseStatement(text);
   if (!statement) return RejectStatement(client, StatementError::kUnsupportedForm, std::nullopt);
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -195,5 +195,16 @@
   EXPECT_EQ(ReadUntilEnd(client), (Responses{"served", "57P03", "57P03", "57P03", "57P03"}));
 }
 
+// Guards against dropping the statements behind an empty query that is answered with an error while the
+// router drains. They are still served; here there is no server, so they are rejected one by one.
+TEST_F(ConnectionEnd, RespondsToStatementsBehindAnEmptyQueryWhileDraining) {
+  Start();
+  Peer client = Session();
+  serving_state_.Stop(clock_.Now());
+  client.Write(Query("") + Statements(1, 3) + Query("") + Query("SET a = 1"));
+  EXPECT_EQ(ReadUntilEnd(client), (Responses{"57P03", "53300", "53300", "53300", "57P03", "served"}));
+  EXPECT_EQ(dispatcher_.counters().received, 3u);
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
