Answer all statements of a connection that is over the connection limit

Seen: of three statements in the first write of a connection beyond max_clients one got 53300, two got nothing.

Cause: the same call of CloseWithError in RejectIfUnavailable, for `over_limit`. The time-out of such a connection had it too, and it could fire while statements lay unread in the socket.

Change: the connection carries the reason for which all its statements are rejected (RejectionReason, in place of the bool); it closes when idle, and its time-out leaves unread input to be read first.

Test ConnectionEnd.RejectsAllPipelinedStatementsBeyondTheConnectionLimit: failed before, passes now.

--- a/src/listener/client_connection.hpp
+++ b/src/listener/client_connection.hpp
@@ -64,7 +64,6 @@
   bool input_ended = false;  // the last pending response closes the connection; further input is discarded
   int finished_requests = 0;
   int consecutive_rejections = 0;  // statements rejected in a row
-  bool over_limit = false;         // accepted beyond the limit: its first valid statement is rejected
   bool has_sent_message = false;   // since the startup
   std::size_t discarded_bytes = 0;
   Micros connected_at = 0;
--- a/src/listener/client_listener.cpp
+++ b/src/listener/client_listener.cpp
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "src/listener/client_connection.hpp"
-#include "src/listener/response_messages.hpp"
+#include "src/listener/rejection_reason.hpp"
 #include "src/log/log.hpp"
 #include "src/pg/message_writer.hpp"
 
@@ -132,7 +132,8 @@
   if (!below_limit && clients_.size() >= options_.limits.max_clients + kMaxOverLimitClients) {
     ++counters_.rejected;
     std::string out;
-    pg::AppendError(out, "FATAL", "53300", kTooManyConnections);
+    const RejectionReason reason = RejectionReason::kTooManyConnections;
+    pg::AppendError(out, "FATAL", SqlStateOf(reason), ToText(reason));
     socket.non_blocking(true, ignored);
     socket.write_some(asio::buffer(out), ignored);
     return;
@@ -141,8 +142,10 @@
   client->connected_at = client->login_step_started = client->last_active = client->message_started_at =
       clock_.Now();
   clients_.insert(client);
-  client->over_limit = !below_limit;
-  if (!below_limit) ++counters_.rejected;
+  if (!below_limit) {
+    client->rejection = RejectionReason::kTooManyConnections;
+    ++counters_.rejected;
+  }
   Read(client);
 }
 
--- a/src/listener/client_messages.cpp
+++ b/src/listener/client_messages.cpp
@@ -146,11 +146,6 @@
 
 bool ClientListener::RejectIfUnavailable(const ConnectionPtr& client, int class_index,
                                          std::size_t statement_size) {
-  if (client->over_limit) {
-    dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
-    CloseWithError(client, "53300", kTooManyConnections, RetryAfterText(kNoDeadline));
-    return true;
-  }
   std::optional<RejectionReason> reason = client->rejection;
   if (!reason && serving_state_.ShouldReject(clock_.Now())) reason = RejectionReason::kOutOfService;
   if (reason) {
@@ -175,8 +170,9 @@
 void ClientListener::RejectAndCloseWhenIdle(ClientConnection& client, int class_index,
                                             RejectionReason reason) {
   dispatcher_.CountLocalResponse(class_index, RejectedResponse{});
-  Respond(client, ErrorMessage(SqlStateOf(reason), ToText(reason), RetryAfterText(kOutOfServiceRetryAfter)) +
-                      ReadyForQueryMessage());
+  const bool out_of_service = reason == RejectionReason::kOutOfService;
+  const std::string retry_after = RetryAfterText(out_of_service ? kOutOfServiceRetryAfter : kNoDeadline);
+  Respond(client, ErrorMessage(SqlStateOf(reason), ToText(reason), retry_after) + ReadyForQueryMessage());
   CloseWhenIdle(client);
 }
 
--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -8,7 +8,7 @@
 
 #include "src/listener/client_connection.hpp"
 #include "src/listener/client_listener.hpp"
-#include "src/listener/response_messages.hpp"
+#include "src/listener/rejection_reason.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -145,7 +145,8 @@
   const bool linger_expired = client->closing && now - client->closing_since > kLingerTimeout;
   const bool write_expired = client->writing && now - client->last_active > kWriteTimeout;
   if (linger_expired || write_expired) return Close(client);
-  if (KeepsSending(*client)) return RejectAndClose(client, RejectionReason::kOutOfService);
+  if (KeepsSending(*client))
+    return RejectAndClose(client, client->rejection.value_or(RejectionReason::kOutOfService));
   const bool busy = client->has_pending_responses() || client->processing_scheduled || client->writing;
   if (client->closing || busy) return;
   // A client that has only just connected is expected to send a request.
@@ -153,16 +154,18 @@
   if (serving_state_.ShouldCloseIdle(now, client->last_active) && !just_connected && IsIdle(*client)) {
     return ShutDownWrite(client);
   }
-  if (client->over_limit && now - client->connected_at > kOverLimitTimeout) {
-    return CloseWithError(client, "53300", kTooManyConnections);
+  const bool over_limit = client->rejection == RejectionReason::kTooManyConnections;
+  std::error_code error;
+  const bool has_unread_input = client->socket.available(error) > 0;
+  if (over_limit && !has_unread_input && now - client->connected_at > kOverLimitTimeout) {
+    return RejectAndClose(client, RejectionReason::kTooManyConnections);
   }
   if (const std::optional<ReadTimeout> timeout = FindReadTimeout(*client)) {
     ++counters_.read_timeouts;
     const bool no_memory = *timeout == ReadTimeout::kNoMemory;
     return CloseWithError(client, no_memory ? "53300" : "08P01", ToText(*timeout));
   }
-  std::error_code ignored;
-  const bool unread = client->reader.buffered() > 0 || client->socket.available(ignored) > 0;
+  const bool unread = client->reader.buffered() > 0 || has_unread_input;
   if (unread || now - client->last_active <= idle_timeout) return;
   // The client has long read its last response, so there is no need to wait for it to close, which it may
   // never do.
--- a/src/listener/rejection_reason.hpp
+++ b/src/listener/rejection_reason.hpp
@@ -7,14 +7,25 @@
 namespace tulipyoke::net {
 
 enum class RejectionReason {
-  kOutOfService,  // an operator has taken the router out of service, or it is shutting down
+  kOutOfService,        // an operator has taken the router out of service, or it is shutting down
+  kTooManyConnections,  // accepted beyond the connection limit
 };
 
 // Returns the SQLSTATE with which a statement is rejected. Both codes allow a retry.
-constexpr std::string_view SqlStateOf(RejectionReason) { return "57P03"; }
+constexpr std::string_view SqlStateOf(RejectionReason reason) {
+  return reason == RejectionReason::kOutOfService ? "57P03" : "53300";
+}
 
 // Returns the error text sent to the client.
-constexpr std::string_view ToText(RejectionReason) { return "out of service: trying again is harmless"; }
+constexpr std::string_view ToText(RejectionReason reason) {
+  switch (reason) {
+    case RejectionReason::kOutOfService:
+      return "out of service: trying again is harmless";
+    case RejectionReason::kTooManyConnections:
+      return "too many connections";
+  }
+  return "";
+}
 
 }  // namespace tulipyoke::net
 
--- a/src/listener/response_messages.hpp
+++ b/src/listener/response_messages.hpp
@@ -9,9 +9,6 @@
 
 namespace tulipyoke::net {
 
-// Sent to a client beyond the connection limit.
-inline constexpr std::string_view kTooManyConnections = "too many connections";
-
 inline std::string ReadyForQueryMessage() {
   std::string message;
   pg::AppendReadyForQuery(message);
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -206,5 +206,16 @@
   EXPECT_EQ(dispatcher_.counters().received, 3u);
 }
 
+// Guards against dropping the statements behind the first one of a connection beyond the limit.
+TEST_F(ConnectionEnd, RejectsAllPipelinedStatementsBeyondTheConnectionLimit) {
+  Start({0, 100, 100, 1 << 20}, false);
+  Peer client = Connect();
+  std::string startup;
+  pg::AppendStartup(startup, "api", "ledger");
+  client.Write(startup + Statements(1, 3));
+  EXPECT_EQ(ReadUntilEnd(client), (Responses{"other", "53300", "53300", "53300"}));
+  EXPECT_EQ(dispatcher_.counters().received, 0u);
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
