Answer what has arrived before a shutdown closes the connections

Seen: at the response deadline of a shutdown, 500 statements in the socket got one error together; three complete ones that waited behind answers to a slow reader got none.

Cause: RejectClientsWithoutRequests called CloseWithError for each client without an open request, whatever it had sent.

Change: RejectAndClose rejects the statements in the reader one by one; a client whose socket holds more is read first. It is skipped only while it is being read, so a statement that waits for memory or for a slow reader does not delay the exit.

--- a/src/listener/client_listener.cpp
+++ b/src/listener/client_listener.cpp
@@ -179,8 +179,11 @@
 void ClientListener::RejectClientsWithoutRequests() {
   const std::unordered_set<ConnectionPtr> clients = clients_;
   for (const ConnectionPtr& client : clients) {
-    if (!client->has_pending_responses())
-      CloseWithError(client, "57P03", "out of service: trying again is harmless");
+    // Statements that have arrived are read first, so that each gets a response. They are rejected at once.
+    std::error_code error;
+    const bool will_be_read = client->reading && !client->writing && client->socket.available(error) > 0;
+    if (client->has_pending_responses() || will_be_read) continue;
+    RejectAndClose(client, RejectionReason::kOutOfService);
   }
 }
 
--- a/src/listener/client_listener.hpp
+++ b/src/listener/client_listener.hpp
@@ -78,8 +78,8 @@
   void StopAccepting();
   // Replaces the limits when another process of this router starts sharing the resources or has ended.
   void SetLimits(const ListenerLimits& limits);
-  // Sends an error to each client that has no pending response, and closes it: a request that arrives now
-  // could not be served any more.
+  // Rejects the statements of each client that has no pending response and no input waiting in its socket,
+  // sends an error and closes it: a request that arrives now could not be served any more.
   void RejectClientsWithoutRequests();
   // Whether a client still waits for a response or for the rest of one, is being closed, has unread input in
   // its socket, or connected or began an incomplete message less than `grace` ago.
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -22,6 +22,9 @@
 
 using namespace standins;  // NOLINT: of the tests, for brevity
 
+// Two of these are more than the system's buffers of one connection hold.
+constexpr std::size_t kHugeValue = pg::kMaxValueSize;
+constexpr int kSmallReceiveBuffer = 32768;  // bytes
 constexpr RequestId kFirstRequest = 1;
 constexpr std::chrono::seconds kPatience{10};
 
@@ -95,6 +98,7 @@
     return client;
   }
   void RunOnce() {
+    if (shuts_down_) listener_->RejectClientsWithoutRequests();
     clock_.BeginIteration();
     io_.run_one_for(std::chrono::milliseconds(10));
     for (const Command& command : dispatcher_.TakeCommands()) {
@@ -102,6 +106,11 @@
         listener_->Deliver(response->id, response->response);
     }
   }
+  // Runs until nothing is left to be done.
+  void RunReady() {
+    clock_.BeginIteration();
+    while (io_.run_one_for(std::chrono::milliseconds(10)) > 0) clock_.BeginIteration();
+  }
   // Fails the test instead of waiting forever.
   void RunUntil(const std::function<bool()>& condition) {
     const auto give_up_at = std::chrono::steady_clock::now() + kPatience;
@@ -121,6 +130,13 @@
     response.result.command_tag = std::string("SELECT 1\0", 9);
     listener_->Deliver(id, response);
   }
+  // Leaves the client with more unread responses than fit into the system's buffers.
+  void OpenAndServeHugeValues(Peer& client) {
+    client.Write(Ask("open") + Ask("open too"));
+    RunUntilReceived(2);
+    Serve(kFirstRequest + 1, kHugeValue);
+    Serve(kFirstRequest, kHugeValue);
+  }
   // Reads until the router ends the connection.
   Responses ReadUntilEnd(Peer& client) {
     Responses responses;
@@ -145,6 +161,7 @@
   ServingState serving_state_;
   Dispatcher dispatcher_{{SingleClass(), 1, {}, {}, 1'000'000}};
   std::unique_ptr<ClientListener> listener_;
+  bool shuts_down_ = false;
 };
 
 // Guards against dropping the statements behind the first one that is rejected because the router is out of
@@ -217,5 +234,33 @@
   EXPECT_EQ(dispatcher_.counters().received, 0u);
 }
 
+// Guards against closing a connection at the end of a shutdown while statements wait in its socket.
+TEST_F(ConnectionEnd, RespondsToUnreadStatementsBeforeTheExit) {
+  constexpr int kStatements = 500;  // several reads
+  Start();
+  Peer client = Session();
+  client.Write(Statements(1, kStatements));
+  shuts_down_ = true;
+  const Responses responses = ReadUntilEnd(client);
+  ASSERT_GE(responses.size(), static_cast<std::size_t>(kStatements));
+  for (int i = 0; i < kStatements; ++i) {
+    const std::string& response = responses[static_cast<std::size_t>(i)];
+    ASSERT_TRUE(response == "53300" || response == "57P03") << response;
+  }
+}
+
+// Guards against dropping statements that wait behind a response which their client reads slowly, when the
+// process ends.
+TEST_F(ConnectionEnd, RejectsStatementsOfASlowReaderBeforeTheExit) {
+  Start(true);
+  Peer client = Session(kSmallReceiveBuffer);
+  OpenAndServeHugeValues(client);
+  client.Write(Statements(1, 3) + Ask("incomplete").substr(0, 20));
+  RunReady();
+  listener_->RejectClientsWithoutRequests();
+  EXPECT_EQ(ReadUntilEnd(client), (Responses{"served", "served", "57P03", "57P03", "57P03", "57P03"}));
+  EXPECT_EQ(dispatcher_.counters().received, 2u);
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
