Reject complete statements one by one at the limit of unread bytes

Seen: a client that reads slowly has 140 complete statements behind two large answers. When the unread bytes of all clients pass their limit, it gets one 53300 and the end of the connection.

Cause: ProcessInput called CloseWithError although the bytes over the limit were complete statements: those of a client with unsent output wait in the reader and count as unread.

Change: RejectAndClose, as at a shutdown: the memory is freed at once, and each statement has its 53300.

--- a/src/listener/client_io.cpp
+++ b/src/listener/client_io.cpp
@@ -79,7 +79,7 @@
   const bool unread_limit_reached = UpdateUnreadBytes(client);
   if (unread_limit_reached && !client->has_pending_responses() && !client->closing) {
     ++counters_.rejected;
-    CloseWithError(client, "53300", "too much is waiting to be read");
+    RejectAndClose(client, RejectionReason::kTooMuchUnread);
   }
   // Closes right after the response, so that the client cannot send its next request while the connection is
   // being closed.
--- a/src/listener/rejection_reason.hpp
+++ b/src/listener/rejection_reason.hpp
@@ -9,6 +9,7 @@
 enum class RejectionReason {
   kOutOfService,        // an operator has taken the router out of service, or it is shutting down
   kTooManyConnections,  // accepted beyond the connection limit
+  kTooMuchUnread,       // the unread bytes of all clients exceed their limit
 };
 
 // Returns the SQLSTATE with which a statement is rejected. Both codes allow a retry.
@@ -23,6 +24,8 @@
       return "out of service: trying again is harmless";
     case RejectionReason::kTooManyConnections:
       return "too many connections";
+    case RejectionReason::kTooMuchUnread:
+      return "too much is waiting to be read";
   }
   return "";
 }
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -262,5 +262,25 @@
   EXPECT_EQ(dispatcher_.counters().received, 2u);
 }
 
+// Guards against dropping complete statements when the unread bytes of all clients reach their limit: those
+// of a client that reads slowly count as unread until its responses have been sent.
+TEST_F(ConnectionEnd, RejectsCompleteStatementsAtTheLimitOfUnreadBytes) {
+  constexpr std::size_t kMaxBufferedBytes = 10'000;
+  constexpr int kStatements = 140;  // more bytes than the limit, fewer than two reads
+  Start({100, 100, 100, kMaxBufferedBytes, 0, 2}, true);
+  Peer client = Session(kSmallReceiveBuffer);
+  client.Write(Ask("open") + Ask("open too"));
+  RunUntilReceived(2);
+  client.Write(Statements(1, kStatements));
+  RunReady();
+  Serve(kFirstRequest + 1, kHugeValue);
+  Serve(kFirstRequest, kHugeValue);
+  Responses expected(2 + kStatements, "53300");
+  expected[0] = expected[1] = "served";
+  expected.emplace_back("53300");  // the error that ends the connection
+  EXPECT_EQ(ReadUntilEnd(client), expected);
+  EXPECT_EQ(dispatcher_.counters().received, 2u);
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
