Read no further ahead of a client's statements than they are processed

Seen: a client that sends statements which are answered at once (here SET, or statements of a router out of service) fills the reader to the limit of the unread bytes of all clients, and gets 53300 and the end of its connection: 40,000 messages, of which a part was never answered.

Cause: ProcessInput read on whenever no response was pending, also while complete messages waited for the next turn of the event loop. A turn reads 8 KiB and processes 16 messages, so the buffer grew with each turn; kMaxReadAhead bounded only clients with pending responses.

Change: reading beyond kMaxReadAhead goes on only for the one message that is next.

--- a/src/listener/client_io.cpp
+++ b/src/listener/client_io.cpp
@@ -90,8 +90,8 @@
   // Processes the messages that had to wait for unsent responses.
   if (output_full && output_drained && client->reader.buffered() > 0) ScheduleProcessing(client);
   if (!reserved) return;
-  // One message can exceed the read-ahead limit, so reading goes on if no response is pending.
-  const bool needs_more = !client->has_pending_responses() && output_drained;
+  // One message can exceed the read-ahead limit, so reading goes on if it is the next one to be processed.
+  const bool needs_more = !client->has_pending_responses() && !client->processing_scheduled && output_drained;
   const bool may_read_ahead =
       output_drained && !unread_limit_reached && client->reader.buffered() < kMaxReadAhead;
   if (needs_more || may_read_ahead) Read(client);
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -212,6 +212,24 @@
   EXPECT_EQ(ReadUntilEnd(client), (Responses{"served", "57P03", "57P03", "57P03", "57P03"}));
 }
 
+// Guards against a connection that is never closed because its client keeps sending: it ends within a limited
+// time, and what was read until then is answered.
+TEST_F(ConnectionEnd, EndsOutOfServiceWhileTheClientKeepsSending) {
+  Start();
+  Peer client = Session();
+  TakeOutOfService();
+  std::atomic<bool> ended = false;
+  const std::string statements = Statements(1, 5000);
+  std::thread writer([&] {
+    while (!ended) client.Write(statements);
+  });
+  const Responses responses = ReadUntilEnd(client);
+  ended = true;
+  writer.join();
+  EXPECT_GE(responses.size(), 20u);
+  for (const std::string& response : responses) ASSERT_EQ(response, "57P03");
+}
+
 // Guards against dropping the statements behind an empty query that is answered with an error while the
 // router drains. They are still served; here there is no server, so they are rejected one by one.
 TEST_F(ConnectionEnd, RespondsToStatementsBehindAnEmptyQueryWhileDraining) {
@@ -282,5 +300,21 @@
   EXPECT_EQ(dispatcher_.counters().received, 2u);
 }
 
+// Guards against reading so far ahead of the processing that a client that sends fast reaches the limit of
+// the unread bytes of all clients.
+TEST_F(ConnectionEnd, ReadsNoFurtherThanItProcesses) {
+  constexpr std::size_t kMaxBufferedBytes = 100'000;
+  constexpr int kMessages = 40'000;
+  Start({100, 100, 100, kMaxBufferedBytes}, false);
+  Peer client = Session();
+  std::string messages;
+  for (int i = 0; i < kMessages; ++i) messages += Query("SET a = 1");
+  pg::AppendMessage(messages, 'X', "");
+  std::thread writer([&] { client.Write(messages); });
+  const Responses responses = ReadUntilEnd(client);
+  writer.join();
+  EXPECT_EQ(responses, Responses(kMessages, "served"));
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
