Answer what was read behind the invalid statement at which a connection is given up

Seen: behind eight invalid statements in a row, two valid ones that came in the same write got no answer.

Cause: RejectStatement ended the connection with CloseWithError at the eighth, dropping the reader.

Change: the connection is closed by RejectAndClose: what was read is answered one by one, valid statements with 53300 and none forwarded, then 08P01 ends it. While an earlier response is pending, what arrives is rejected as it is read.

ClientSession.RejectsADuplicateIdAndDisconnectsAfterRepeatedErrors counted seven errors for 300 statements that came in one read, that is, 293 without an answer: it held the fault. It now checks each of the 300 answers, the final 08P01 and the end of the connection. That such a client stays bounded is a test of its own, with 4,000 statements.

Tests: ConnectionEnd.RejectsValidStatementsBehindTooManyInvalidOnes and the changed one failed before; both pass now. StopsRespondingAfterTooManyInvalidStatements passed before and passes now.

--- a/src/listener/client_io.cpp
+++ b/src/listener/client_io.cpp
@@ -223,7 +223,7 @@
   for (int processed = 0; processed < kMaxMessagesAtClose; ++processed) {
     if (client->closing || client->closed || client->input_ended || !ProcessMessage(client)) break;
   }
-  CloseWithError(client, SqlStateOf(reason), ToText(reason));
+  CloseWithError(client, FinalSqlStateOf(reason), ToText(reason));
 }
 
 void ClientListener::CloseWithError(const ConnectionPtr& client, std::string_view code,
--- a/src/listener/client_messages.cpp
+++ b/src/listener/client_messages.cpp
@@ -138,10 +138,12 @@
   ++counters_.malformed;
   if (class_index) dispatcher_.CountLocalResponse(*class_index, FailedResponse{});
   ++client->consecutive_rejections;
-  if (client->consecutive_rejections >= kMaxConsecutiveRejections) {
-    return CloseWithError(client, "08P01", ToText(error));
-  }
   Respond(*client, ErrorMessage("42601", ToText(error)) + ReadyForQueryMessage());
+  if (client->consecutive_rejections < kMaxConsecutiveRejections || client->rejection) return;
+  client->rejection = RejectionReason::kTooManyErrors;
+  CloseWhenIdle(*client);
+  // While a response is pending, the statements that arrive are rejected as they are read.
+  if (!client->has_pending_responses()) RejectAndClose(client, RejectionReason::kTooManyErrors);
 }
 
 bool ClientListener::RejectIfUnavailable(const ConnectionPtr& client, int class_index,
--- a/tests/listener/client_session_test.cpp
+++ b/tests/listener/client_session_test.cpp
@@ -121,10 +121,12 @@
   std::string invalid_statements;
   for (int i = 0; i < 300; ++i) invalid_statements += Query("SELECT 1");
   duplicate.Write(invalid_statements);
-  int errors = 0;
-  for (auto message = duplicate.Next(); message.first != '\0'; message = duplicate.Next())
-    errors += message.first == 'E';
-  EXPECT_EQ(errors, 7);  // the duplicate id was the first rejection of eight
+  // The duplicate id was the first rejection of eight. All statements arrive in one read, so each gets its
+  // response before the connection is closed.
+  for (int i = 0; i < 300; ++i) ASSERT_EQ(CodeOf(duplicate.UntilReady()), "42601") << i;
+  const Messages last = duplicate.UntilReady();
+  EXPECT_EQ(CodeOf(last), "08P01");
+  EXPECT_EQ(last.size(), 2u);  // the error and the end of the stream
 }
 
 // Responses must not accumulate for a client that sends requests and does not read. Other clients are served
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "src/listener/client_connection.hpp"
 #include "src/listener/client_listener.hpp"
 #include "src/serving_state/serving_state.hpp"
 #include "standins/pg_peer.hpp"
@@ -300,6 +301,33 @@
   EXPECT_EQ(dispatcher_.counters().received, 2u);
 }
 
+// Guards against dropping valid statements behind the invalid one at which the connection is given up, and
+// against forwarding them.
+TEST_F(ConnectionEnd, RejectsValidStatementsBehindTooManyInvalidOnes) {
+  Start(true);
+  Peer client = Session();
+  std::string statements;
+  for (int i = 0; i < 8; ++i) statements += Query("SELECT 1");
+  client.Write(statements + Statements(1, 2) + Query("SELECT 1"));
+  Responses expected(8, "42601");
+  expected.insert(expected.end(), {"53300", "53300", "42601", "08P01"});
+  EXPECT_EQ(ReadUntilEnd(client), expected);
+  EXPECT_EQ(dispatcher_.counters().received, 0u);
+}
+
+// Guards against a client that sends invalid statements without end: no more than is buffered when the eighth
+// one is found, and none that arrives later, gets a response.
+TEST_F(ConnectionEnd, StopsRespondingAfterTooManyInvalidStatements) {
+  Start();
+  Peer client = Session();
+  std::string statements;
+  for (int i = 0; i < 4000; ++i) statements += Query("SELECT 1");
+  client.Write(statements);
+  const Responses responses = ReadUntilEnd(client);
+  EXPECT_LE(responses.size(), kReadSize / Query("SELECT 1").size() + 1);
+  EXPECT_EQ(responses.back(), "08P01");
+}
+
 // Guards against reading so far ahead of the processing that a client that sends fast reaches the limit of
 // the unread bytes of all clients.
 TEST_F(ConnectionEnd, ReadsNoFurtherThanItProcesses) {
