Let a slow reader finish before its connection is closed

Cause: closing_since was the time at which the last answer was queued, and CheckTimeouts closed the socket kLingerTimeout later whatever was unsent. Ruled out: HasUnfinishedClients would have waited for it.

Change: the linger begins when everything is written, and starts again while the client acknowledges bytes (SIOCOUTQ). A shutdown waits for such a client too, within its exit deadline.

--- a/src/listener/client_connection.hpp
+++ b/src/listener/client_connection.hpp
@@ -54,6 +54,9 @@
   std::optional<Micros> close_when_idle_since;
   std::optional<RejectionReason> rejection;  // all statements are rejected for this reason
   bool write_shut_down = false;
+  // When the client last acknowledged bytes after the shutdown of the connection.
+  Micros last_acknowledged = 0;
+  std::size_t unacknowledged_bytes = 0;
   bool closed = false;
   bool processing_scheduled = false;  // remaining messages are processed in the next event loop turn
   // Responses not yet sent, in the order of the client's messages. The first one belongs to an open request.
@@ -68,7 +71,6 @@
   std::size_t discarded_bytes = 0;
   Micros connected_at = 0;
   Micros last_active = 0;
-  Micros closing_since = 0;
   Micros login_step_started = 0;  // when the client connected, later when its startup completed
   Micros message_started_at = 0;  // when the incomplete message began to arrive
   // This connection's share of the listener's totals.
--- a/src/listener/client_io.cpp
+++ b/src/listener/client_io.cpp
@@ -242,7 +242,6 @@
     return;
   }
   client->closing = true;
-  client->closing_since = clock_.Now();
   client->output += fatal_error;
   Write(client);
 }
@@ -258,10 +257,10 @@
 // Shuts down the sending direction and waits for the client to close: an immediate close could discard data
 // that the client has not read.
 void ClientListener::ShutDownWrite(const ConnectionPtr& client) {
-  if (!client->closing) client->closing_since = clock_.Now();
   client->closing = true;
   if (client->writing || !client->output.empty()) return Write(client);
   client->write_shut_down = true;
+  client->last_acknowledged = clock_.Now();
   std::error_code ignored;
   client->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   Read(client);
--- a/src/listener/client_listener.cpp
+++ b/src/listener/client_listener.cpp
@@ -11,6 +11,7 @@
 
 #include "src/listener/client_connection.hpp"
 #include "src/listener/rejection_reason.hpp"
+#include "src/listener/socket_buffers.hpp"
 #include "src/log/log.hpp"
 #include "src/pg/message_writer.hpp"
 
@@ -29,6 +30,8 @@
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 // How long a shutdown waits for a client to read its last message and close.
 constexpr Micros kShutdownLinger = 100'000;
+// The same while the client has not acknowledged all responses, from the last time that it acknowledged some.
+constexpr Micros kReadingLinger = 1'000'000;
 
 }  // namespace
 
@@ -154,7 +157,11 @@
   return std::any_of(clients_.begin(), clients_.end(), [&](const ConnectionPtr& client) {
     if (client->has_pending_responses() || client->unsent_bytes() > 0 || client->processing_scheduled)
       return true;
-    if (client->closing) return now - client->closing_since < kShutdownLinger;
+    if (client->closing) {
+      const bool has_read_all = UnacknowledgedBytes(client->socket) <= kShutdownSequenceSize;
+      const Micros linger = has_read_all ? kShutdownLinger : kReadingLinger;
+      return now - client->last_acknowledged < linger;
+    }
     std::error_code error;
     return now - client->connected_at < grace || client->socket.available(error) > 0 ||
            (client->reader.buffered() > 0 && now - client->message_started_at < grace);
--- a/src/listener/client_listener.hpp
+++ b/src/listener/client_listener.hpp
@@ -110,6 +110,8 @@
   // for memory; the client is not read from until then.
   bool ReserveStatement(const ConnectionPtr& client);
   void OnReservationReleased();
+  // How long a client whose connection is shut down has not acknowledged any bytes.
+  Micros TimeSinceProgress(ClientConnection& client) const;
   // Returns which read timeout the client has exceeded, or nullopt.
   std::optional<ReadTimeout> FindReadTimeout(const ClientConnection& client) const;
   void OnStartup(const ConnectionPtr& client, std::string_view body);
--- a/src/listener/client_responses.cpp
+++ b/src/listener/client_responses.cpp
@@ -47,10 +47,7 @@
     }
     if (first.is_open()) return;
     client->output += first.bytes;
-    if (first.closes_connection) {
-      client->closing = true;
-      client->closing_since = clock_.Now();
-    }
+    if (first.closes_connection) client->closing = true;
     RemoveFirstResponse(*client);
   }
 }
--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -9,6 +9,7 @@
 #include "src/listener/client_connection.hpp"
 #include "src/listener/client_listener.hpp"
 #include "src/listener/rejection_reason.hpp"
+#include "src/listener/socket_buffers.hpp"
 
 namespace tulipyoke::net {
 namespace {
@@ -41,7 +42,8 @@
 constexpr auto kDisconnectCheckInterval = std::chrono::milliseconds(50);
 // How long statements of a connection that is to be closed are still processed while more keep arriving.
 constexpr Micros kMaxCloseWhenIdle = 1'000'000;
-// How long a client may take to read its last message and close.
+// How long a client may take to close its connection, once it has read its last message or has stopped
+// reading.
 constexpr Micros kLingerTimeout = 1'000'000;
 
 }  // namespace
@@ -116,6 +118,16 @@
   return has_unprocessed && clock_.Now() - *client.close_when_idle_since > kMaxCloseWhenIdle;
 }
 
+// What the client has acknowledged shows whether it still reads. Closing the socket before it has read
+// everything can discard the rest: the system resets a connection on which the client has sent more.
+Micros ClientListener::TimeSinceProgress(ClientConnection& client) const {
+  const Micros now = clock_.Now();
+  const std::size_t unacknowledged = UnacknowledgedBytes(client.socket);
+  if (unacknowledged != client.unacknowledged_bytes) client.last_acknowledged = now;
+  client.unacknowledged_bytes = unacknowledged;
+  return now - client.last_acknowledged;
+}
+
 void ClientListener::ScheduleTimeoutCheck() {
   timeout_check_.ExpireAfter(kTimeoutCheckInterval, [this] {
     CheckTimeouts();
@@ -142,9 +154,9 @@
 
 void ClientListener::CheckTimeouts(const ConnectionPtr& client, Micros idle_timeout) {
   const Micros now = clock_.Now();
-  const bool linger_expired = client->closing && now - client->closing_since > kLingerTimeout;
   const bool write_expired = client->writing && now - client->last_active > kWriteTimeout;
-  if (linger_expired || write_expired) return Close(client);
+  const bool linger_expired = client->write_shut_down && TimeSinceProgress(*client) > kLingerTimeout;
+  if (write_expired || linger_expired) return Close(client);
   if (KeepsSending(*client))
     return RejectAndClose(client, client->rejection.value_or(RejectionReason::kOutOfService));
   const bool busy = client->has_pending_responses() || client->processing_scheduled || client->writing;
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t kHugeValue = pg::kMaxValueSize;
 constexpr int kSmallReceiveBuffer = 32768;  // bytes
 constexpr RequestId kFirstRequest = 1;
+constexpr std::chrono::milliseconds kLongerThanLinger{1300};
 constexpr std::chrono::seconds kPatience{10};
 
 // The responses that a client received before its connection ended, each as its SQLSTATE, "served" or
@@ -112,6 +113,10 @@
     clock_.BeginIteration();
     while (io_.run_one_for(std::chrono::milliseconds(10)) > 0) clock_.BeginIteration();
   }
+  void RunFor(std::chrono::milliseconds duration) {
+    const auto end = std::chrono::steady_clock::now() + duration;
+    while (std::chrono::steady_clock::now() < end) RunOnce();
+  }
   // Fails the test instead of waiting forever.
   void RunUntil(const std::function<bool()>& condition) {
     const auto give_up_at = std::chrono::steady_clock::now() + kPatience;
@@ -328,6 +333,55 @@
   EXPECT_EQ(responses.back(), "08P01");
 }
 
+// Guards against cutting off responses that a slow client has not read when the connection begins to close.
+TEST_F(ConnectionEnd, CompletesResponsesThatAreReadAfterTheLingerTimeout) {
+  Start(true);
+  Peer client = Session(kSmallReceiveBuffer);
+  client.Write(Statements(1, 2));
+  RunUntilReceived(2);
+  serving_state_.Stop(clock_.Now());
+  Serve(kFirstRequest + 1, kHugeValue);
+  Serve(kFirstRequest, kHugeValue);
+  RunFor(kLongerThanLinger);
+  EXPECT_EQ(ReadUntilEnd(client), Responses(2, "served"));
+}
+
+// Guards against a reset that discards responses in the socket's buffer: it follows if the socket is closed
+// while the client, which reads slowly, has sent or still sends something.
+TEST_F(ConnectionEnd, DoesNotResetAConnectionWhoseClientStillReads) {
+  constexpr std::size_t kValueInSocketBuffers = std::size_t{1} << 20;
+  constexpr std::size_t kBytesPerStep = 8192;
+  Start(true);
+  Peer client = Session(kSmallReceiveBuffer);
+  client.Write(Ask("open"));
+  RunUntilReceived(1);
+  serving_state_.Stop(clock_.Now());
+  Serve(kFirstRequest, kValueInSocketBuffers);
+  std::string received;
+  const auto begin = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() < begin + 2 * kLongerThanLinger) {
+    RunFor(std::chrono::milliseconds(100));
+    client.Write(Ask("crossing"));
+    const std::size_t size = received.size();
+    received.resize(size + kBytesPerStep);
+    const ssize_t read = ::recv(client.socket().native_handle(), received.data() + size, kBytesPerStep, 0);
+    ASSERT_GT(read, 0);
+    received.resize(size + static_cast<std::size_t>(read));
+  }
+  std::atomic<bool> ended = false;
+  std::thread reader([&] {
+    std::error_code end;
+    asio::read(client.socket(), asio::dynamic_buffer(received), end);
+    ended = true;
+  });
+  while (!ended) RunOnce();
+  reader.join();
+  EXPECT_GT(received.size(), kValueInSocketBuffers);
+  std::string last;
+  pg::AppendReadyForQuery(last);
+  EXPECT_TRUE(received.ends_with(last));
+}
+
 // Guards against reading so far ahead of the processing that a client that sends fast reaches the limit of
 // the unread bytes of all clients.
 TEST_F(ConnectionEnd, ReadsNoFurtherThanItProcesses) {
