Measure the write time-out from the last byte that the client has read

Cause: the time-out counted from last_active, which changes only when a whole write has been accepted. The system takes more bytes only once a third of its buffer is free, which can be more than a megabyte.

Change: bytes that the client has acknowledged are progress, as for the linger. The time-out is part of ListenerOptions, so that the test can shorten it.

Test ConnectionEnd.DoesNotTimeOutAClientThatReadsSlowly: fails with the former measure put back, passes now.

--- a/src/listener/client_connection.hpp
+++ b/src/listener/client_connection.hpp
@@ -54,7 +54,7 @@
   std::optional<Micros> close_when_idle_since;
   std::optional<RejectionReason> rejection;  // all statements are rejected for this reason
   bool write_shut_down = false;
-  // When the client last acknowledged bytes after the shutdown of the connection.
+  // When the client last acknowledged bytes, or when the output that it has not read began to wait.
   Micros last_acknowledged = 0;
   std::size_t unacknowledged_bytes = 0;
   bool closed = false;
--- a/src/listener/client_io.cpp
+++ b/src/listener/client_io.cpp
@@ -196,6 +196,7 @@
     return;
   }
   client->writing = true;
+  client->last_acknowledged = clock_.Now();
   client->output_in_flight.swap(client->output);
   client->output.clear();
   asio::async_write(client->socket, asio::buffer(client->output_in_flight),
--- a/src/listener/client_listener.hpp
+++ b/src/listener/client_listener.hpp
@@ -42,6 +42,11 @@
   std::size_t max_pipelined_requests = 1;
 };
 
+// Tests shorten it.
+struct ListenerTimeouts {
+  Micros write = 30'000'000;  // a client that reads none of its pending output for this long is disconnected
+};
+
 struct ListenerOptions {
   asio::ip::tcp::endpoint listen;
   ListenerLimits limits;
@@ -49,6 +54,7 @@
   // Called before each request is submitted, so that pending updates from another process, on which the
   // request may depend, are applied first.
   std::function<void()> before_request = [] {};
+  ListenerTimeouts timeouts = {};
 };
 
 // Connections accepted, evicted, and closed by idle or read timeouts; connections or statements rejected
@@ -110,7 +116,7 @@
   // for memory; the client is not read from until then.
   bool ReserveStatement(const ConnectionPtr& client);
   void OnReservationReleased();
-  // How long a client whose connection is shut down has not acknowledged any bytes.
+  // How long a client with unsent output, or whose connection is shut down, has not acknowledged any bytes.
   Micros TimeSinceProgress(ClientConnection& client) const;
   // Returns which read timeout the client has exceeded, or nullopt.
   std::optional<ReadTimeout> FindReadTimeout(const ClientConnection& client) const;
--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -14,8 +14,6 @@
 namespace tulipyoke::net {
 namespace {
 
-// A client that has not read any pending output for this long is disconnected.
-constexpr Micros kWriteTimeout = 30'000'000;
 // A client is disconnected with an error if it sends no first message, or no more of an incomplete message,
 // for this long. The limit leaves room for pauses of two seconds, which the protocol allows.
 constexpr Micros kMessageTimeout = 2'600'000;
@@ -118,8 +116,10 @@
   return has_unprocessed && clock_.Now() - *client.close_when_idle_since > kMaxCloseWhenIdle;
 }
 
-// What the client has acknowledged shows whether it still reads. Closing the socket before it has read
-// everything can discard the rest: the system resets a connection on which the client has sent more.
+// The system accepts more bytes only when much of its buffer is free, and none after the shutdown of the
+// sending direction. What the client has acknowledged shows earlier whether it still reads. Closing the
+// socket before it has read everything can discard the rest: the system resets a connection on which the
+// client has sent more.
 Micros ClientListener::TimeSinceProgress(ClientConnection& client) const {
   const Micros now = clock_.Now();
   const std::size_t unacknowledged = UnacknowledgedBytes(client.socket);
@@ -154,9 +154,10 @@
 
 void ClientListener::CheckTimeouts(const ConnectionPtr& client, Micros idle_timeout) {
   const Micros now = clock_.Now();
-  const bool write_expired = client->writing && now - client->last_active > kWriteTimeout;
-  const bool linger_expired = client->write_shut_down && TimeSinceProgress(*client) > kLingerTimeout;
-  if (write_expired || linger_expired) return Close(client);
+  if (client->writing || client->write_shut_down) {
+    const Micros timeout = client->writing ? options_.timeouts.write : kLingerTimeout;
+    if (TimeSinceProgress(*client) > timeout) return Close(client);
+  }
   if (KeepsSending(*client))
     return RejectAndClose(client, client->rejection.value_or(RejectionReason::kOutOfService));
   const bool busy = client->has_pending_responses() || client->processing_scheduled || client->writing;
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -74,7 +74,7 @@
     }
     dispatcher_.Start(clock_.Now(), servers);
     listener_ = std::make_unique<ClientListener>(io_, clock_, dispatcher_, serving_state_,
-                                                 ListenerOptions{Loopback(0), limits});
+                                                 ListenerOptions{Loopback(0), limits, -1, [] {}, timeouts_});
     serving_state_.Start();
     listener_->StartAccepting();
   }
@@ -166,6 +166,7 @@
   LoopClock clock_;
   ServingState serving_state_;
   Dispatcher dispatcher_{{SingleClass(), 1, {}, {}, 1'000'000}};
+  ListenerTimeouts timeouts_;
   std::unique_ptr<ClientListener> listener_;
   bool shuts_down_ = false;
 };
@@ -382,6 +383,28 @@
   EXPECT_TRUE(received.ends_with(last));
 }
 
+// Guards against disconnecting a client that reads one response for longer than the write timeout, but reads.
+TEST_F(ConnectionEnd, DoesNotTimeOutAClientThatReadsSlowly) {
+  constexpr std::size_t kBytesPerStep = std::size_t{512} << 10;
+  timeouts_.write = 400'000;
+  Start(true);
+  Peer client = Session(kSmallReceiveBuffer);
+  OpenAndServeHugeValues(client);
+  std::string received(kBytesPerStep, '\0');
+  for (int step = 0; step < 4; ++step) {
+    for (std::size_t size = 0; size < kBytesPerStep;) {
+      std::error_code error;
+      size += client.socket().read_some(asio::buffer(received), error);
+      ASSERT_FALSE(error) << step;
+      RunReady();
+    }
+    RunFor(std::chrono::milliseconds(150));
+  }
+  EXPECT_EQ(listener_->clients(), 1u);
+  RunFor(std::chrono::milliseconds(1000));  // it reads nothing any more
+  EXPECT_EQ(listener_->clients(), 0u);
+}
+
 // Guards against reading so far ahead of the processing that a client that sends fast reaches the limit of
 // the unread bytes of all clients.
 TEST_F(ConnectionEnd, ReadsNoFurtherThanItProcesses) {
