Do not evict a client whose messages wait for the next turn of the event loop

Seen: a client chosen for eviction sends 40 messages; 16 are processed, and before the rest is, another client connects: the first one is closed as idle and 24 messages have no answer.

Cause: EvictIdle compared last_active, which is equal within one iteration, and looked at the socket, which is empty: the messages are in the reader and processing_scheduled is set, which it did not check.

Change: it does.

Test ConnectionEnd.DoesNotEvictAClientWithUnprocessedStatements: fails with the check taken out, passes now.

--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -59,8 +59,9 @@
       // The client may have sent a request since the scan.
       std::error_code error;
       const bool still_idle = client && client->last_active == last_active &&
-                              !client->has_pending_responses() && !client->writing && !client->closing &&
-                              !client->closed && client->socket.available(error) == 0;
+                              !client->has_pending_responses() && !client->processing_scheduled &&
+                              !client->writing && !client->closing && !client->closed &&
+                              client->socket.available(error) == 0;
       if (still_idle && now - last_active < min_idle) return false;
       eviction_candidates_.pop_front();
       if (!still_idle) continue;
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -1,6 +1,7 @@
 // Connections that the router ends itself: each statement that it has read gets exactly one response before
 // that, also if it was pipelined, arrives in parts, or has a client that reads slowly.
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -136,6 +137,10 @@
     response.result.command_tag = std::string("SELECT 1\0", 9);
     listener_->Deliver(id, response);
   }
+  static bool HasEnded(Peer& client) {
+    pollfd events{client.socket().native_handle(), POLLRDHUP, 0};
+    return ::poll(&events, 1, 0) > 0;
+  }
   // Leaves the client with more unread responses than fit into the system's buffers.
   void OpenAndServeHugeValues(Peer& client) {
     client.Write(Ask("open") + Ask("open too"));
@@ -405,6 +410,33 @@
   EXPECT_EQ(listener_->clients(), 0u);
 }
 
+// Guards against evicting a client whose remaining messages are processed in the next turn of the event loop.
+// The clock does not advance here, so the client looks as idle as when it was chosen for eviction.
+TEST_F(ConnectionEnd, DoesNotEvictAClientWithUnprocessedStatements) {
+  constexpr int kMessages = 40;  // more than are processed in one turn
+  Start({2, 2, 2, 1 << 20}, false);
+  std::vector<Peer> clients;
+  clients.reserve(4);
+  for (int i = 0; i < 2; ++i) clients.push_back(Session());
+  const auto accept_another = [&] {
+    const std::uint64_t accepted = listener_->counters().accepted;
+    clients.push_back(Connect());
+    while (listener_->counters().accepted == accepted) io_.run_one();
+  };
+  accept_another();  // evicts one of the two and remembers the other
+  ASSERT_EQ(listener_->counters().evicted, 1u);
+  Peer& remembered = clients[HasEnded(clients[0]) ? 1 : 0];
+  std::string messages;
+  for (int i = 0; i < kMessages; ++i) messages += Query("SET a = 1");
+  fprintf(stderr, "A\n");
+  remembered.Write(messages);
+  fprintf(stderr, "B\n");
+  while (remembered.socket().available() == 0) io_.run_one();
+  fprintf(stderr, "C\n");  // the first turn has been processed
+  accept_another();
+  EXPECT_EQ(ReadUntilEnd(remembered), Responses(kMessages, "served"));
+}
+
 // Guards against reading so far ahead of the processing that a client that sends fast reaches the limit of
 // the unread bytes of all clients.
 TEST_F(ConnectionEnd, ReadsNoFurtherThanItProcesses) {
