Give statements that waited behind a slow one their time when the connection ends

This one had sent everything; its statements were not read while an earlier one was in progress.

Change: the bound is 10 s, and part of ListenerTimeouts. It only has to end connections that would never end.

Test ConnectionEnd.RejectsStatementsThatHaveWaitedBehindASlowOne: fails with the bound of 1 s put back, passes now.

--- a/src/listener/client_listener.hpp
+++ b/src/listener/client_listener.hpp
@@ -45,6 +45,8 @@
 // Tests shorten it.
 struct ListenerTimeouts {
   Micros write = 30'000'000;  // a client that reads none of its pending output for this long is disconnected
+  // How long statements of a connection that is to be closed are still processed while more keep arriving.
+  Micros close_when_idle = 10'000'000;
 };
 
 struct ListenerOptions {
@@ -176,7 +178,8 @@
   void CloseWhenIdle(ClientConnection& client);
   // Whether the connection is closed as soon as the client is idle.
   bool IsClosedWhenIdle(const ClientConnection& client) const;
-  // Whether the client has kept sending for kMaxCloseWhenIdle since its connection was to be closed.
+  // Whether the client has kept sending for ListenerTimeouts::close_when_idle since its connection was to be
+  // closed.
   bool KeepsSending(const ClientConnection& client) const;
   // Whether the client has no pending response and no unread input, and is not being closed.
   bool IsIdle(const ClientConnection& client) const;
--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -38,8 +38,6 @@
 // No attempt may start later than 0.1 s after its client has closed. Connections that are not being read from
 // are checked twice in this time.
 constexpr auto kDisconnectCheckInterval = std::chrono::milliseconds(50);
-// How long statements of a connection that is to be closed are still processed while more keep arriving.
-constexpr Micros kMaxCloseWhenIdle = 1'000'000;
 // How long a client may take to close its connection, once it has read its last message or has stopped
 // reading.
 constexpr Micros kLingerTimeout = 1'000'000;
@@ -114,7 +112,7 @@
   if (!client.close_when_idle_since || client.has_pending_responses() || client.writing) return false;
   std::error_code error;
   const bool has_unprocessed = client.processing_scheduled || client.socket.available(error) > 0;
-  return has_unprocessed && clock_.Now() - *client.close_when_idle_since > kMaxCloseWhenIdle;
+  return has_unprocessed && clock_.Now() - *client.close_when_idle_since > options_.timeouts.close_when_idle;
 }
 
 // The system accepts more bytes only when much of its buffer is free, and none after the shutdown of the
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -227,6 +227,7 @@
 // Guards against a connection that is never closed because its client keeps sending: it ends within a limited
 // time, and what was read until then is answered.
 TEST_F(ConnectionEnd, EndsOutOfServiceWhileTheClientKeepsSending) {
+  timeouts_.close_when_idle = 500'000;
   Start();
   Peer client = Session();
   TakeOutOfService();
@@ -453,5 +454,25 @@
   EXPECT_EQ(responses, Responses(kMessages, "served"));
 }
 
+// Guards against taking a client for one that keeps sending although it sent everything long ago: its
+// statements waited for the response to the first one.
+TEST_F(ConnectionEnd, RejectsStatementsThatHaveWaitedBehindASlowOne) {
+  constexpr int kStatements = 20'000;  // more than are processed between two checks of the time-outs
+  Start(true);
+  Peer client = Session();
+  client.Write(Ask("open"));
+  RunUntilReceived(1);
+  TakeOutOfService();
+  client.Write(Ask("first"));
+  RunUntilRejected(1);
+  std::thread writer([&, statements = Statements(1, kStatements)] { client.Write(statements); });
+  RunFor(kLongerThanLinger);
+  Serve(kFirstRequest, 1);
+  Responses expected(2 + kStatements, "57P03");
+  expected[0] = "served";
+  EXPECT_EQ(ReadUntilEnd(client), expected);
+  writer.join();
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
