Do not evict a client that has not read all of its responses

Cause: EvictIdle and the idle time-out look at what the router has yet to write. The rest of the answers was in the socket's buffer. The connection was closed, the client sent its next statement, and the system reset the connection and discarded the buffer.

Change: a client with unacknowledged bytes is no candidate for eviction for 3 s after it was last active, and the idle time-out waits while it acknowledges more.

--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -29,6 +29,9 @@
 constexpr Micros kFirstRequestGrace = 200'000;
 // A client that has paused for this long within a message may be evicted, after most other idle clients.
 constexpr Micros kPartialMessageIdle = 700'000;
+// How long a client counts as active that has not read all of its responses. They are in the socket's buffer,
+// and closing the connection would discard them if the client sent something more.
+constexpr Micros kUnreadResponseGrace = 3'000'000;
 // How long a client beyond the connection limit may take to send the statement that will be rejected.
 constexpr Micros kOverLimitTimeout = 200'000;
 // Maximum idle clients that one scan collects, and the delay before the next scan if it found none.
@@ -80,6 +83,7 @@
   for (const ConnectionPtr& client : clients_) {
     if (client->has_pending_responses() || client->writing || client->closing || client->awaits_reservation)
       continue;
+    if (now - client->last_active < kUnreadResponseGrace && UnacknowledgedBytes(client->socket) > 0) continue;
     const bool has_partial_message = client->reader.buffered() > 0;
     if (has_partial_message && now - client->last_active < kPartialMessageIdle) continue;
     const bool sent_no_request = !client->has_sent_message && now - client->connected_at > kFirstRequestGrace;
@@ -179,6 +183,7 @@
   }
   const bool unread = client->reader.buffered() > 0 || has_unread_input;
   if (unread || now - client->last_active <= idle_timeout) return;
+  if (UnacknowledgedBytes(client->socket) > 0 && TimeSinceProgress(*client) <= kLingerTimeout) return;
   // The client has long read its last response, so there is no need to wait for it to close, which it may
   // never do.
   ++counters_.idle_timeouts;
--- a/tests/listener/connection_end_test.cpp
+++ b/tests/listener/connection_end_test.cpp
@@ -474,5 +474,23 @@
   writer.join();
 }
 
+// Guards against evicting a client that still reads its response from the socket's buffer: the connection
+// would be reset by whatever the client sends next.
+TEST_F(ConnectionEnd, DoesNotEvictAClientThatStillReads) {
+  constexpr std::size_t kValueInSocketBuffers = std::size_t{1} << 20;
+  Start({2, 2, 2, 1 << 20, 1 << 20, 2}, true);
+  Peer reading = Session(kSmallReceiveBuffer);
+  reading.Write(Ask("open"));
+  RunUntilReceived(1);
+  Serve(kFirstRequest, kValueInSocketBuffers);
+  RunReady();
+  const Peer idle = Session(), another = Connect();
+  RunUntil([&] { return listener_->counters().evicted == 1; });
+  std::string terminate;
+  pg::AppendMessage(terminate, 'X', "");
+  reading.Write(terminate);
+  EXPECT_EQ(ReadUntilEnd(reading), Responses{"served"});
+}
+
 }  // namespace
 }  // namespace tulipyoke::net
