Tell a slow reader from a delayed acknowledgement when clients are evicted

Cause: an acknowledgement may be delayed by 40 ms, and until then the answer counts as unacknowledged.

Change: the eviction and the idle time-out ask for the bytes that the system has not sent (SIOCOUTQNSD). There are such bytes only while the client's buffer is full, and only they are lost when the connection is reset.

--- a/src/listener/idle_eviction.cpp
+++ b/src/listener/idle_eviction.cpp
@@ -83,7 +83,7 @@
   for (const ConnectionPtr& client : clients_) {
     if (client->has_pending_responses() || client->writing || client->closing || client->awaits_reservation)
       continue;
-    if (now - client->last_active < kUnreadResponseGrace && UnacknowledgedBytes(client->socket) > 0) continue;
+    if (now - client->last_active < kUnreadResponseGrace && UnsentBytes(client->socket) > 0) continue;
     const bool has_partial_message = client->reader.buffered() > 0;
     if (has_partial_message && now - client->last_active < kPartialMessageIdle) continue;
     const bool sent_no_request = !client->has_sent_message && now - client->connected_at > kFirstRequestGrace;
@@ -183,7 +183,7 @@
   }
   const bool unread = client->reader.buffered() > 0 || has_unread_input;
   if (unread || now - client->last_active <= idle_timeout) return;
-  if (UnacknowledgedBytes(client->socket) > 0 && TimeSinceProgress(*client) <= kLingerTimeout) return;
+  if (UnsentBytes(client->socket) > 0 && TimeSinceProgress(*client) <= kLingerTimeout) return;
   // The client has long read its last response, so there is no need to wait for it to close, which it may
   // never do.
   ++counters_.idle_timeouts;
