Fix the order of two calls in the test of corrupted messages

Cause: GoldenBytes.CorruptedMessages appended std::to_string(reader.PendingMessageSize().value_or(0)) + ReadAll(reader). C++ leaves the order of the two calls to the compiler, and ReadAll changes what PendingMessageSize returns. On arm64 the size was taken first, on x86-64 last, so the digest, which is that of x86-64, did not match on arm64.

Change: ReadAll is called first and its result kept in a variable. The digest is unchanged.

--- a/tests/pg/golden_bytes_test.cpp
+++ b/tests/pg/golden_bytes_test.cpp
@@ -363,7 +363,8 @@
                            : seed % 3 == 1 ? MessageReader(false, 4096)
                                            : MessageReader::ForResponses();
     reader.Feed(bytes);
-    combined += std::to_string(reader.PendingMessageSize().value_or(0)) + ReadAll(reader);
+    const std::string messages = ReadAll(reader);
+    combined += std::to_string(reader.PendingMessageSize().value_or(0)) + messages;
     const std::size_t from = random() % bytes.size();
     const std::size_t size = random() % 40;
     const std::string_view tail = std::string_view(bytes).substr(from, size);
