Review: number the cases anew and drop the one that an earlier case shows

Change: case 7 is dropped; the late drain is case 9 and the repeat beyond the zone case 10. The shared stand-ins learn to start several processes of one router on a socket that the platform holds, and operators' calls.

--- a/review/8/case.cpp
+++ b/review/10/case.cpp
@@ -1,4 +1,4 @@
-// Case 8: see claim.txt beside this file. Usage: case PROJECT_ROOT RECORD_FILE
+// Case 10: see claim.txt beside this file. Usage: case PROJECT_ROOT RECORD_FILE
 #include <algorithm>
 #include <exception>
 #include <iostream>
--- a/review/6/case.cpp
+++ b/review/9/case.cpp
@@ -1,4 +1,4 @@
-// Case 6: see claim.txt beside this file. Usage: case PROJECT_ROOT RECORD_FILE
+// Case 9: see claim.txt beside this file. Usage: case PROJECT_ROOT RECORD_FILE
 #include <algorithm>
 #include <exception>
 #include <iostream>
--- a/review/common-2/world.cpp
+++ b/review/common-2/world.cpp
@@ -91,6 +91,15 @@
   return "";
 }
 
+// Takes a free port and keeps it bound, without listening, so that nobody else is given it. The router may
+// bind it as well, because both sockets allow that.
+std::uint16_t TakePort(tcp::acceptor& reserved) {
+  reserved.open(tcp::v4());
+  reserved.set_option(tcp::acceptor::reuse_address(true));
+  reserved.bind(Loopback(0));
+  return reserved.local_endpoint().port();
+}
+
 std::string ReadFile(const std::filesystem::path& path) {
   std::ifstream file(path);
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
@@ -155,13 +164,71 @@
   return true;
 }
 
+int World::Call(std::uint16_t port, const std::string& method, const std::string& path) {
+  tcp::socket socket(io_);
+  const std::string request = method + " " + path + " HTTP/1.1\r\nHost: router\r\nContent-Length: 0\r\n\r\n";
+  std::array<char, 1024> buffer{};
+  std::string answer;
+  bool ended = false;
+  std::function<void()> read = [&] {
+    socket.async_read_some(asio::buffer(buffer), [&](std::error_code error, std::size_t size) {
+      answer.append(buffer.data(), size);
+      ended = error || answer.size() >= 12;
+      if (!ended) read();
+    });
+  };
+  socket.async_connect(Loopback(port), [&](std::error_code error) {
+    if (error) {
+      ended = true;
+      return;
+    }
+    asio::async_write(socket, asio::buffer(request), [&](std::error_code failed, std::size_t) {
+      if (failed) {
+        ended = true;
+      } else {
+        read();
+      }
+    });
+  });
+  RunUntil([&] { return ended; }, 2 * kSecond);
+  std::error_code ignored;
+  socket.close(ignored);
+  RunUntil([&] { return ended; }, 50 * kMs);
+  const int status = answer.size() >= 12 ? std::atoi(answer.substr(9, 3).c_str()) : 0;
+  Note("operator: " + method + " " + path + " at port " + std::to_string(port) + ": " +
+       std::to_string(status));
+  return status;
+}
+
 // ---- Routers
 
+Platform::Platform(World& world) : acceptor_(world.io(), Loopback(0)), folder_(world.folder() / "shared") {
+  port_ = acceptor_.local_endpoint().port();
+  std::filesystem::create_directories(folder_);
+}
+
 Router::Router(World& world, const std::string& name, Json config)
-    : world_(world), name_(name), config_(std::move(config)) {
-  tcp::acceptor probe(world.io(), Loopback(0));
-  port_ = probe.local_endpoint().port();
-  probe.close();
+    : world_(world),
+      name_(name),
+      process_(name),
+      config_(std::move(config)),
+      reserved_port_(world.io()),
+      reserved_operator_port_(world.io()) {
+  port_ = TakePort(reserved_port_);
+  operator_port_ = TakePort(reserved_operator_port_);
+}
+
+Router::Router(World& world, const std::string& name, const std::string& process, Platform& platform,
+               Json config)
+    : world_(world),
+      name_(name),
+      process_(process),
+      platform_(&platform),
+      config_(std::move(config)),
+      reserved_port_(world.io()),
+      reserved_operator_port_(world.io()),
+      port_(platform.port()) {
+  operator_port_ = TakePort(reserved_operator_port_);
 }
 
 Router::~Router() {
@@ -173,23 +240,25 @@
   Json whole = config_;
   whole["name"] = name_;
   whole["listen"] = "127.0.0.1:" + std::to_string(port_);
+  whole["operator"] = "127.0.0.1:" + std::to_string(operator_port_);
   if (!whole.contains("seed")) {
     char seed[32];
     std::snprintf(seed, sizeof seed, "%08x%08x", static_cast<unsigned>(world_.random()()),
                   static_cast<unsigned>(world_.random()()));
     whole["seed"] = seed;
   }
-  const std::filesystem::path path = world_.folder() / (name_ + ".json");
+  const std::filesystem::path path = world_.folder() / (process_ + ".json");
   std::ofstream(path.string() + ".new") << whole.dump(1);
   std::filesystem::rename(path.string() + ".new", path);
 }
 
 void Router::Start() {
   Configure(config_);
-  const std::filesystem::path path = world_.folder() / (name_ + ".json");
-  const std::filesystem::path temporary = world_.folder() / (name_ + ".tmp");
+  const std::filesystem::path path = world_.folder() / (process_ + ".json");
+  const std::filesystem::path temporary =
+      platform_ ? platform_->folder() : world_.folder() / (process_ + ".tmp");
   std::filesystem::create_directories(temporary);
-  const std::string log = (world_.folder() / (name_ + ".log")).string();
+  const std::string log = (world_.folder() / (process_ + ".log")).string();
   const std::string deploy = ReadFile(world_.root() + "/deploy/balancer.toml");
   const std::size_t begin = deploy.find("\nrun = \"");
   if (begin == std::string::npos) throw std::runtime_error("the deploy file has no run command");
@@ -198,7 +267,7 @@
   pid_ = fork();
   if (pid_ < 0) throw std::runtime_error("cannot start a router");
   if (pid_ > 0) {
-    world_.Note("router " + name_ + " starts: " + run);
+    world_.Note("router " + process_ + " starts: " + run);
     return;
   }
   prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -206,7 +275,8 @@
   const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(out, 1);
   dup2(out, 2);
-  closefrom(3);
+  if (platform_) dup2(platform_->descriptor(), 4);
+  closefrom(platform_ ? 5 : 3);
   if (chdir(world_.root().c_str()) != 0) _exit(127);
   setenv("LB_CONFIG", path.c_str(), 1);
   setenv("TMPDIR", temporary.c_str(), 1);
@@ -215,6 +285,10 @@
   unsetenv("LB_DISCOVERY");
   unsetenv("LB_OPERATOR");
   unsetenv("LB_ACCEPT_FD");
+  if (platform_) {
+    close(3);
+    setenv("LB_ACCEPT_FD", "4", 1);
+  }
   execl("/bin/sh", "sh", "-c", run.c_str(), nullptr);
   _exit(127);
 }
@@ -227,7 +301,7 @@
   if (pid_ <= 0) return false;
   int status = 0;
   if (waitpid(pid_, &status, WNOHANG) != pid_) return true;
-  world_.Note("router " + name_ + " has ended" +
+  world_.Note("router " + process_ + " has ended" +
               (WIFSIGNALED(status) ? " by signal " + std::to_string(WTERMSIG(status))
                                    : " with status " + std::to_string(WEXITSTATUS(status))));
   pid_ = -1;
@@ -241,7 +315,7 @@
   pid_ = -1;
 }
 
-std::string Router::Log() const { return ReadFile(world_.folder() / (name_ + ".log")); }
+std::string Router::Log() const { return ReadFile(world_.folder() / (process_ + ".log")); }
 
 // ---- Readings servers
 
@@ -708,7 +782,9 @@
     });
   };
   for (const auto& each : clients) check(each.get());
-  return world.RunUntil([&] { return ready == clients.size(); }, 30 * kSecond);
+  const bool all = world.RunUntil([&] { return ready == clients.size(); }, 30 * kSecond);
+  world.Note(std::to_string(ready) + " of " + std::to_string(clients.size()) + " routers are ready");
+  return all;
 }
 
 }  // namespace review2
--- a/review/common-2/world.hpp
+++ b/review/common-2/world.hpp
@@ -53,6 +53,8 @@
   const std::string& root() const { return root_; }
   const std::filesystem::path& folder() const { return folder_; }
   Us start() const { return start_; }
+  // An operator's call over HTTP; returns the status, or 0 if there was no answer within 2 s.
+  int Call(std::uint16_t port, const std::string& method, const std::string& path);
   std::mt19937& random() { return random_; }
 
  private:
@@ -66,13 +68,30 @@
 
 // ---- Routers
 
+// What the processes of one router share where the platform holds the clients' socket for them.
+class Platform {
+ public:
+  explicit Platform(World& world);
+  std::uint16_t port() const { return port_; }
+  int descriptor() { return acceptor_.native_handle(); }
+  const std::filesystem::path& folder() const { return folder_; }
+
+ private:
+  tcp::acceptor acceptor_;
+  std::uint16_t port_;
+  std::filesystem::path folder_;
+};
+
 // One router process, started with the `run` command of the deploy file.
 class Router {
  public:
-  // `config` needs no name, listen address or seed.
+  // `config` needs no name, listen address, address for operators or seed.
   Router(World& world, const std::string& name, Json config);
+  // Another process of the router `name`; `process` names it in the record.
+  Router(World& world, const std::string& name, const std::string& process, Platform& platform, Json config);
   ~Router();
   std::uint16_t port() const { return port_; }
+  std::uint16_t operator_port() const { return operator_port_; }
   const std::string& name() const { return name_; }
   void Start();
   void Signal(int signal);
@@ -85,9 +104,11 @@
 
  private:
   World& world_;
-  std::string name_;
+  std::string name_, process_;
+  Platform* platform_ = nullptr;
   Json config_;
-  std::uint16_t port_ = 0;
+  tcp::acceptor reserved_port_, reserved_operator_port_;
+  std::uint16_t port_ = 0, operator_port_ = 0;
   pid_t pid_ = -1;
 };
 
