Review: let nothing outlive a script, and let a case end itself

Cause: a script that was ended by a signal left its program running until the time limit.

Change: the program dies with its script and after 115 s, and the routers die with the program, as they did before.

--- a/review/common-2/world.cpp
+++ b/review/common-2/world.cpp
@@ -125,6 +125,10 @@
 
 World::World(const std::string& root, const std::string& record)
     : root_(root), record_(record), start_(Now()) {
+  // Nothing outlives the script, and a case ends within its time.
+  constexpr unsigned kLongestSeconds = 115;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  alarm(kLongestSeconds);
   std::string name = (std::filesystem::temp_directory_path() / "review2-XXXXXX").string();
   if (!mkdtemp(name.data())) throw std::runtime_error("no temporary folder");
   folder_ = name;
